--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,116 @@
+// Command drill lets the decision module play in the simulator: it hosts instances by their ids, hands each
+// its own events and writes their actions back. It decides nothing and the instances share nothing.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+
+	"stoatweir/dispatch"
+	"stoatweir/internal/simwire"
+)
+
+type instance struct {
+	base   simwire.Base
+	core   *dispatch.Dispatcher // nil until started and after a stop
+	events []dispatch.Event
+}
+
+func main() {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if err := play(os.Stdin, os.Stdout); err != nil {
+		log.Error("the wire can't be read on", "cause", err.Error())
+		os.Exit(1)
+	}
+}
+
+// play answers batches until the input ends.
+func play(in io.Reader, out io.Writer) error {
+	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
+	instances := map[uint32]*instance{}
+	var reply simwire.Reply
+	for {
+		batch, err := simwire.ReadBatch(r)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		order, err := sortOut(batch, instances)
+		if err != nil {
+			return err
+		}
+		reply.Reset()
+		for _, id := range order {
+			instances[id].run(id, batch.Clock, &reply)
+		}
+		if _, err := w.Write(reply.Bytes()); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// sortOut hands the batch's events to their instances and lists these in the order of their first event.
+func sortOut(batch simwire.Batch, instances map[uint32]*instance) ([]uint32, error) {
+	var order []uint32
+	base := func(id uint32) simwire.Base {
+		if in := instances[id]; in != nil {
+			return in.base
+		}
+		return simwire.Base(batch.Clock)
+	}
+	for records := simwire.Open(batch); ; {
+		id, event, more, err := records.Next(base)
+		if err != nil {
+			return nil, err
+		}
+		if !more {
+			return order, nil
+		}
+		in := instances[id]
+		if in == nil {
+			in = &instance{}
+			instances[id] = in
+		}
+		if in.events == nil {
+			in.events = []dispatch.Event{}
+			order = append(order, id)
+		}
+		switch e := event.(type) {
+		case nil:
+		case simwire.Up:
+			in.base = simwire.Base(batch.Clock)
+			in.core, in.events = dispatch.New(e.Deployment, int64(e.Seed)), in.events[:0]
+		case simwire.PowerOff:
+			in.core, in.events = nil, in.events[:0]
+		default:
+			in.events = append(in.events, e)
+		}
+	}
+}
+
+// run lets one instance decide; a panic of the decisions is told on the wire, which ends the day in plain words.
+func (in *instance) run(id uint32, clock float64, reply *simwire.Reply) {
+	events := in.events
+	in.events = nil
+	if in.core == nil {
+		return
+	}
+	defer func() {
+		if cause := recover(); cause != nil {
+			in.core = nil
+			reply.Broken(id, fmt.Sprintf("the decisions panicked: %v", cause))
+		}
+	}()
+	for _, action := range in.core.Handle(in.base.Since(clock), events) {
+		reply.Action(id, in.base, action)
+	}
+}
