--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -92,7 +92,7 @@
 		case simwire.PowerOff:
 			in.core, in.events = nil, in.events[:0]
 		default:
-			in.events = append(in.events, e)
+			in.events = append(in.events, e.(dispatch.Event))
 		}
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,15 +6,16 @@
 //
 // The design, SRPTMS+C, decides the ordinary path: hold, rank, running set, release, clones, pick. Beside it
 // stand six mechanisms:
-//  1. set-aside and trial: a worker is judged by our own outcomes too, not by its figures alone.
-//  2. stuck work: a further forward for what sits on a worker that was set aside.
+//  1. set-aside and trial: a worker, whole or for one tenant's operation, is judged by our own outcomes too.
+//  2. stuck work: a further forward for what sits where no answer in time is to be expected.
 //  3. pace: a worker's running time for each unit of work; a slow one gets only what it can do in time.
-//  4. refusals: a worker that turns a tenant's operation away is passed over for these.
+//  4. late figures: how old reports are is learned, and old ones count for less.
 //  5. cold budget: our part of the work that a worker which has just started can take.
 //  6. giving up: what can't meet its latency objective any more is answered at once.
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
@@ -28,15 +29,23 @@
 	cloneShare  = 0.2                    // clones stay under this part of invocations
 	beat        = 20 * time.Millisecond  // how often time alone may change a decision
 	sampleCount = 16                     // measurements are the last few samples
+	lagSamples  = 64                     // more of them, as others' traffic blurs each
+	figureCount = 8                      // reports of a worker that others' load there is worked out from
 	probeFloor  = 3                      // random workers probed each second, whatever the traffic
-	probePoints = 0.004                  // points of the result that probes above the floor may cost
+	probePoints = 0.002                  // points of the result that probes above the floor may cost
 	asideFirst  = 500 * time.Millisecond // how long a worker is set aside at least; each next time doubles it
 	asideMost   = 8 * time.Second
 	asideProbes = 2                      // answered probes before a worker comes back
 	trialRuns   = 3                      // successes, one at a time, before it counts in full again
 	patience    = 300 * time.Millisecond // for a sign that is due
+	coldMargin  = 0.8                    // of our part of a cold worker's budget, as hints are rough
 )
 
+// lags are the ages of a report among which the likeliest is learned.
+var lags = [...]time.Duration{0, 50e6, 100e6, 200e6, 350e6, 500e6, 750e6, 1e9, 14e8, 2e9, 28e8, 4e9, 56e8}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // house is what all parts share: the moment, chance, what comes out, and the loop that empties inboxes.
 type house struct {
 	now    time.Duration
@@ -45,19 +54,9 @@
 	unread []*inbox // with notes in them, oldest first
 }
 
-// inbox is the one way into a part.
-type inbox struct {
-	home  *house
-	read  func(note any)
-	notes []any
-}
+func (h *house) do(a Action) { h.out = append(h.out, a) }
 
-func (b *inbox) put(note any) {
-	if len(b.notes) == 0 {
-		b.home.unread = append(b.home.unread, b)
-	}
-	b.notes = append(b.notes, note)
-}
+func (h *house) log(format string, args ...any) { h.do(Log{fmt.Sprintf(format, args...)}) }
 
 // settle empties all inboxes, in the order in which they got their first note.
 func (h *house) settle() {
@@ -72,15 +71,24 @@
 	}
 }
 
-func (h *house) do(a Action) { h.out = append(h.out, a) }
+// inbox is the one way into a part.
+type inbox struct {
+	*house
+	read  func(note any)
+	notes []any
+}
 
-func (h *house) log(format string, args ...any) { h.do(Log{fmt.Sprintf(format, args...)}) }
+func (b *inbox) put(note any) {
+	if b.notes = append(b.notes, note); len(b.notes) == 1 {
+		b.unread = append(b.unread, b)
+	}
+}
 
 // samples are the last few measurements of something.
 type samples []float64
 
-func (s *samples) add(v float64) {
-	if *s = append(*s, v); len(*s) > sampleCount {
+func (s *samples) add(v float64, most int) {
+	if *s = append(*s, v); len(*s) > most {
 		*s = (*s)[1:]
 	}
 }
@@ -94,54 +102,40 @@
 }
 
 func (s samples) deviation() float64 {
-	mean, sum := s.mean(), 0.0
+	mean, squares := s.mean(), samples{}
 	for _, v := range s {
-		sum += (v - mean) * (v - mean)
+		squares = append(squares, (v-mean)*(v-mean))
 	}
-	return math.Sqrt(sum / float64(max(1, len(s)-1)))
+	return math.Sqrt(squares.mean())
 }
 
-// middle is the median: one heavy invocation can't move it.
+// middle is the median: one heavy invocation can't move it. 0 where nothing was measured.
 func (s samples) middle() float64 {
 	if len(s) == 0 {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(s))
-	return sorted[len(sorted)/2]
+	return slices.Sorted(slices.Values(s))[len(s)/2]
 }
 
 // The notes that parts put into each other's inboxes, beside the events themselves.
 type (
 	tick   struct{} // the beat
 	choose struct{} // all that has happened at this moment is in
-	came   struct { // door to desk
-		inv int
-		Arrival
-	}
-	ended struct { // door to worker, and on to the desk with the running time
-		inv, fwd int
-		result   Result
-		closed   bool
-		load     []float64
-		ran      time.Duration
-	}
-	heard struct { // door to worker: a sign from a forward that is out
-		inv, fwd int
-		started  bool
-		done     float64
-	}
-	closed struct{ inv, but int } // door to desk: no more answer is owed; forward but goes on
-	freed  struct{ id InvID }     // desk to door: nothing more will be heard of it
-	sent   struct{ errand }       // desk to worker
-	stuck  struct{ inv, fwd int } // worker to desk: no answer is to be expected soon
-	offer  struct {               // worker to desk: how it stands
+	about  struct { // door to desk or worker, and on from a worker to the desk with the running time
+		inv   int
+		event Event
+		ran   time.Duration
+	}
+	freed struct{ id InvID }     // desk to door: nothing more will be heard of it
+	sent  struct{ errand }       // desk to worker
+	stuck struct{ inv, fwd int } // worker to desk: no answer is to be expected soon
+	offer struct {               // worker to desk: how it stands
 		at int
 		card
 	}
-	listed struct{ Entry } // roster to worker
-	round  struct {        // worker to scout: whom to probe
-		at           int
-		ready, aside bool
+	misfit [len(lags)]float64 // worker to desk: how badly each lag explains a report
+	pooled struct {           // desk to worker: how old reports are, how often to probe
+		lag, every time.Duration
 	}
 )
 
@@ -149,38 +143,44 @@
 type Dispatcher struct {
 	house
 	inbox
+	terms
 	desk     desk
-	scout    scout
 	roster   roster
 	workers  []*worker
 	workerAt map[WorkerID]int
 	invAt    map[InvID]int
 	wakeAt   time.Duration
 	beats    uint64
-	reports  []Field
-	signs    struct {
-		start    bool
-		progress time.Duration
-	}
-	warmAfter time.Duration
-	coldFrom  float64
-	fall      time.Duration
+}
+
+// terms are the few figures that every worker's book needs.
+type terms struct {
+	fields                                []Field
+	probes, tellsStart                    bool
+	coldFrom                              float64
+	progress, warmAfter, window, idleSpan time.Duration
 }
 
 // New starts an instance. The deployment is turned into the figures that decisions use and is not kept.
 func New(dep Deployment, seed int64) *Dispatcher {
-	d := &Dispatcher{workerAt: map[WorkerID]int{}, invAt: map[InvID]int{}, reports: dep.Fields}
+	d := &Dispatcher{workerAt: map[WorkerID]int{}, invAt: map[InvID]int{}}
 	d.rng = rand.New(rand.NewSource(seed))
-	d.signs.start, d.signs.progress = dep.TellsStart, dep.Progress
-	d.warmAfter, d.coldFrom, d.fall = dep.Rules.WarmAfter, dep.Rules.ColdFrom, dep.Rules.Fall
-	d.inbox = inbox{home: &d.house, read: func(note any) { delete(d.invAt, note.(freed).id) }}
-	d.desk = newDesk(d, dep)
-	d.desk.inbox.read = d.desk.read
-	d.scout = scout{inbox: inbox{home: &d.house}, door: d, probes: dep.Allowed.Probes}
-	d.scout.inbox.read = d.scout.read
-	d.scout.each = probePoints / max(dep.ProbePrice, probePoints/4)
-	d.roster = roster{inbox: inbox{home: &d.house}, door: d, asks: !dep.Pushed, within: dep.Rules.AskWithin}
+	d.terms = terms{fields: dep.Fields, probes: dep.Allowed.Probes, tellsStart: dep.TellsStart, progress: dep.Progress,
+		coldFrom: dep.Rules.ColdFrom, warmAfter: dep.Rules.WarmAfter, window: dep.Rules.Fall}
+	d.inbox = inbox{house: &d.house, read: func(note any) { delete(d.invAt, note.(freed).id) }}
+	d.roster = roster{inbox: inbox{house: &d.house}, door: d, asks: !dep.Pushed, within: dep.Rules.AskWithin}
 	d.roster.inbox.read = d.roster.read
+	k := &d.desk
+	*k = desk{inbox: inbox{house: &d.house, read: k.read}, door: d, allowed: dep.Allowed, zone: dep.Zone,
+		refused: map[[3]int]refusal{}, each: probePoints / max(dep.ProbePrice, probePoints/4),
+		part: coldMargin * dep.Rules.FallMultiple * dep.Rules.Fall.Seconds() / float64(max(1, dep.Peers))}
+	for _, o := range dep.Operations {
+		if o.BilledValue <= 0 {
+			o.BilledValue = 1
+		}
+		k.ops = append(k.ops, operation{weight: o.BilledValue, objective: o.LatencyObjective, window: o.DedupWindow,
+			stretch: o.Stretch, late: o.LateValue > 0, effect: o.Effect, scope: o.Scope, kind: o.Kind})
+	}
 	return d
 }
 
@@ -199,7 +199,7 @@
 			w.put(tick{})
 		}
 		d.roster.put(tick{})
-		d.scout.put(tick{})
+		d.desk.put(tick{})
 		d.settle()
 	}
 	d.desk.put(choose{})
@@ -207,44 +207,33 @@
 	return d.out
 }
 
+// enter finds whom an event is for. What is about an invocation or a worker that is not known is passed over.
 func (d *Dispatcher) enter(event Event) {
+	if list, is := event.(Listing); is {
+		d.roster.put(list)
+		return
+	}
+	id, worker := event.About()
+	inv, held := d.invAt[id]
+	at, known := d.workerAt[worker]
 	switch e := event.(type) {
 	case Arrival:
-		if _, known := d.invAt[e.Inv]; known {
+		if held {
 			return
 		}
 		if e.Operation >= len(d.desk.ops) {
-			d.do(Errored{e.Inv})
+			d.do(Errored{id})
 			return
 		}
-		inv := d.desk.slot()
-		d.invAt[e.Inv] = inv
-		d.desk.put(came{inv, e})
-		d.scout.put(e)
-	case Outcome:
-		inv, held := d.invAt[e.Inv]
-		if at, known := d.workerAt[e.Worker]; held && known {
-			d.workers[at].put(ended{inv: inv, fwd: e.Forward, result: e.Result, closed: e.Closed, load: e.Load})
-		}
-	case Sign:
-		inv, held := d.invAt[e.Inv]
-		if at, known := d.workerAt[e.Worker]; held && known {
-			d.workers[at].put(heard{inv, e.Forward, e.Started, e.Done})
-		}
-	case Streaming:
-		if inv, held := d.invAt[e.Inv]; held {
-			d.desk.put(closed{inv, e.Forward})
-		}
-	case Withdrawn:
-		if inv, held := d.invAt[e.Inv]; held {
-			d.desk.put(closed{inv, -1})
-		}
+		inv, held = d.desk.slot(), true
+		d.invAt[id] = inv
 	case Answer:
-		if at, known := d.workerAt[e.Worker]; known {
-			d.workers[at].put(e)
-		}
-	case Listing:
-		d.roster.put(e)
+		held = true
+	}
+	if held && known {
+		d.workers[at].put(about{inv: inv, event: event})
+	} else if held && !worker.IsValid() {
+		d.desk.put(about{inv: inv, event: event})
 	}
 }
 
@@ -253,403 +242,352 @@
 	inbox
 	door    *Dispatcher
 	asks    bool
+	follows bool
 	within  time.Duration
 	askAt   time.Duration // when to ask again if nothing has come by then
 	failed  int
-	follows bool
 }
 
 func (r *roster) read(note any) {
-	now := r.home.now
-	switch n := note.(type) {
-	case tick:
-		if r.asks && !r.follows && now >= r.askAt {
-			r.home.do(Follow{})
-			r.askAt = now + max(time.Second, r.within/2)
-		}
-	case Listing:
-		if n.Form == ListFailed {
-			// A list service that is down must not get all schedulers' calls at once, and one that has not
-			// been asked within the stated time makes us count as told: spread out, but well inside it.
-			wait := min(250*time.Millisecond<<min(r.failed, 5), max(r.within/4, 250*time.Millisecond))
-			r.follows, r.failed = false, r.failed+1
-			r.askAt = now + wait/2 + time.Duration(r.home.rng.Int63n(int64(wait)))
-			r.home.log("list call failed or subscription lost, asking again at %v", r.askAt)
-			return
-		}
-		if now > 0 {
-			r.follows, r.failed = true, 0
+	n, is := note.(Listing)
+	if !is {
+		if r.asks && !r.follows && r.now >= r.askAt {
+			r.do(Follow{})
+			r.askAt = r.now + max(time.Second, r.within/2)
 		}
-		missing := make([]bool, len(r.door.workers))
-		for i := range missing {
-			missing[i] = n.Form == ListWhole
-		}
-		for _, e := range n.Entries {
-			at, known := r.door.workerAt[e.Worker]
-			if !known {
-				at = r.door.hire(e.Worker)
-			} else if at < len(missing) {
-				missing[at] = false
-			}
-			r.door.workers[at].put(listed{e})
+		return
+	}
+	if n.Form == ListFailed {
+		// A list service that is down must not get all schedulers' calls at once, and one that has not been
+		// asked within the stated time makes us count as told: spread out, but well inside it.
+		wait := max(min(250*time.Millisecond<<min(r.failed, 5), r.within/4), 250*time.Millisecond)
+		r.follows, r.failed = false, r.failed+1
+		r.askAt = r.now + wait/2 + time.Duration(r.rng.Int63n(int64(wait)))
+		r.log("list call failed or subscription lost, asking again at %v", r.askAt)
+		return
+	}
+	if r.now > 0 { // the first one is only what was cached
+		r.follows, r.failed = true, 0
+	}
+	for _, w := range r.door.workers {
+		if n.Form == ListWhole && !slices.ContainsFunc(n.Entries, func(e Entry) bool { return e.Worker == w.id }) {
+			w.put(Entry{Standing: Gone})
 		}
-		for at, gone := range missing {
-			if gone {
-				r.door.workers[at].put(listed{Entry{Standing: Gone}})
-			}
+	}
+	for _, e := range n.Entries {
+		at, known := r.door.workerAt[e.Worker]
+		if !known {
+			at = len(r.door.workers)
+			w := &worker{inbox: inbox{house: r.house}, terms: &r.door.terms, desk: &r.door.desk.inbox, id: e.Worker, at: at}
+			w.inbox.read = w.read
+			r.door.workers, r.door.workerAt[e.Worker] = append(r.door.workers, w), at
 		}
+		r.door.workers[at].put(e)
 	}
 }
 
-func (d *Dispatcher) hire(id WorkerID) int {
-	w := &worker{inbox: inbox{home: &d.house}, door: d, id: id, at: len(d.workers)}
-	w.inbox.read = w.read
-	d.workers = append(d.workers, w)
-	d.workerAt[id] = w.at
-	return w.at
-}
+// need is what a job takes of a worker.
+type need struct{ slots, memory float64 }
 
-// scout probes a few random workers, and those set aside so that they can come back.
-type scout struct {
-	inbox
-	door    *Dispatcher
-	probes  bool
-	each    float64 // probes that an invocation pays for
-	credit  float64
-	rounds  []round
-	deck    []int // random order, dealt out before it is shuffled anew
-	asideAt time.Duration
-}
-
-func (s *scout) read(note any) {
-	switch n := note.(type) {
-	case Arrival:
-		s.credit += s.each
-	case round:
-		for len(s.rounds) <= n.at {
-			s.rounds = append(s.rounds, round{})
-		}
-		s.rounds[n.at] = n
-	case tick:
-		if !s.probes || len(s.rounds) == 0 {
-			return
-		}
-		s.credit = min(s.credit+probeFloor*beat.Seconds(), max(1, float64(len(s.rounds))*beat.Seconds()*4))
-		for tries := 0; s.credit >= 1 && tries < 2*len(s.rounds); tries++ {
-			if len(s.deck) == 0 {
-				s.deck = s.home.rng.Perm(len(s.rounds))
-			}
-			at := s.deck[0]
-			s.deck = s.deck[1:]
-			if r := s.rounds[at]; r.ready && !r.aside {
-				s.credit--
-				s.home.do(Probe{s.door.workers[at].id})
-			}
-		}
-		if s.home.now >= s.asideAt {
-			s.asideAt = s.home.now + asideFirst/2
-			for at, r := range s.rounds {
-				if r.ready && r.aside {
-					s.home.do(Probe{s.door.workers[at].id})
-				}
-			}
-		}
-	}
+func (n need) plus(times float64, m need) need {
+	return need{n.slots + times*m.slots, n.memory + times*m.memory}
 }
 
 // errand is a forward as its worker sees it.
 type errand struct {
-	inv, fwd            int
-	slots, memory, work float64
-	sent, heard, end    time.Duration // end: when its slots are free again; 0 while it is out
-	started             bool
+	inv, fwd int
+	need
+	work             float64
+	started          bool
+	sent, heard, end time.Duration // end: when its slots are free again; 0 while it is out
+}
+
+// figure is what others had at a worker at a time.
+type figure struct {
+	at     time.Duration
+	others need
 }
 
 // card is what a worker tells of itself.
 type card struct {
 	open, trial, known bool
 	zone, kind, cell   int
-	room, memory, mine float64
-	size, pace         float64
+	room               need
+	mine, size, pace   float64
 	warmth, spent      float64
 }
 
 // worker is the actor that keeps one worker's book.
 type worker struct {
 	inbox
-	door             *Dispatcher
-	id               WorkerID
-	at               int
-	zone, kind, cell int
-	standing         Standing
-	startedAt        time.Duration
-	cold             bool
-	errands          []errand
-	free, queue      float64 // the last figures, and when they were true
-	memory           float64
-	figureAt         time.Duration
-	known, full      bool
-	size             float64 // most slots seen
-	pace             samples
-	lastSign         time.Duration
-	aside            bool
-	asideTill        time.Duration
-	asides, answers  int
-	trial            int // successes still wanted
-	errors           samples
-	missed           int // probes in a row without an answer
+	*terms
+	desk              *inbox
+	id                WorkerID
+	at                int
+	listed            Entry
+	cold, aside       bool
+	startedAt         time.Duration
+	errands           []errand
+	figures           []figure
+	load              []float64     // the last report as it came
+	lag, every        time.Duration // how old a report is when it comes; how often to probe
+	size              need          // the most seen free
+	fit               misfit
+	paces, runs       samples
+	lastSign, probeAt time.Duration
+	asideTill         time.Duration
+	asides            int // how often of late
+	answers, missed   int // probes in a row with and without an answer
+	trial             int // successes still wanted
 }
 
 func (w *worker) read(note any) {
-	now := w.home.now
 	switch n := note.(type) {
-	case listed:
-		w.follow(n.Entry)
+	case Entry:
+		w.follow(n)
 	case sent:
 		w.errands = append(w.errands, n.errand)
-	case heard:
-		if e := w.find(n.inv, n.fwd); e != nil {
-			w.lastSign, e.heard = now, now
-			if n.started {
-				e.started = true
-			}
-			w.revive()
-		}
-	case ended:
-		w.finish(n)
-	case Answer:
-		if !n.OK {
-			w.answers = 0
-			if w.missed++; w.missed >= 2 {
-				w.setAside("probes go unanswered", true)
-			}
-			break
-		}
-		w.missed = 0
-		w.report(n.Load, now-n.Took/2)
-		if w.answers++; w.aside && w.answers >= asideProbes && now >= w.asideTill {
-			w.aside, w.trial = false, trialRuns
-			w.home.log("worker %v back on trial", w.id)
-			w.tell()
-		}
+	case pooled:
+		w.lag, w.every = n.lag, n.every
 	case tick:
 		w.watch()
+	case about:
+		switch e := n.event.(type) {
+		case Sign:
+			if f := w.find(n.inv, e.Forward); f != nil {
+				w.lastSign, f.heard, f.started = w.now, w.now, f.started || e.Started
+				w.comeBack(true)
+			}
+		case Outcome:
+			w.finish(n, e)
+		case Answer:
+			w.answered(e)
+		}
 	}
 	w.tell()
 }
 
-// tell lets the desk and the scout know how the worker stands.
-func (w *worker) tell() {
-	c := card{open: w.standing == Ready && !w.aside, trial: w.trial > 0, known: w.known, zone: w.zone, kind: w.kind,
-		cell: w.cell, memory: math.Inf(1), size: w.size, pace: w.pace.middle(), warmth: 1}
-	c.room = w.free - w.queue
-	if slices.Contains(w.door.reports, FieldFreeMemory) && w.known {
-		c.memory = w.memory
-	}
-	for _, e := range w.errands {
-		out := e.end == 0 || e.end > w.home.now
-		if out {
-			c.mine += e.slots
-		}
-		if e.sent+w.door.fall > w.home.now {
-			c.spent += e.work
-		}
-		switch {
-		case e.sent > w.figureAt && out:
-			c.room -= e.slots
-			c.memory -= e.memory
-		case e.sent <= w.figureAt && !out && e.end > w.figureAt:
-			c.room += e.slots
-			c.memory += e.memory
+// held sums what our forwards held here at a time.
+func (w *worker) held(at time.Duration) (n need) {
+	for i := range w.errands {
+		if e := &w.errands[i]; e.sent <= at && (e.end == 0 || at < e.end) {
+			n = n.plus(1, e.need)
 		}
 	}
-	c.room = min(c.room, w.size-c.mine)
-	if age := w.home.now - w.startedAt; w.cold && age < w.door.warmAfter {
-		from := w.door.coldFrom
-		c.warmth = from + (1-from)*max(0, age.Seconds()/w.door.warmAfter.Seconds())
-	}
-	w.door.desk.put(offer{w.at, c})
+	return n
 }
 
-func (w *worker) follow(e Entry) {
-	if e.Standing == Ready {
-		if e.Restarted && (!w.cold || e.StartedAt > w.startedAt) {
-			w.cold, w.startedAt = true, e.StartedAt
-			w.known, w.aside, w.trial, w.missed, w.pace, w.errors = false, false, 0, 0, nil, nil
-			w.release()
+// tell lets the desk know how the worker stands.
+func (w *worker) tell() {
+	c := card{open: w.listed.Standing == Ready && !w.aside, trial: w.trial > 0, known: len(w.figures) > 0, warmth: 1,
+		zone: w.listed.Zone, kind: w.listed.Kind, cell: w.listed.Cell, size: w.size.slots, pace: w.paces.middle()}
+	mine := w.held(w.now)
+	c.mine = mine.slots
+	if n := len(w.figures); n > 0 {
+		// What others hold drifts back to its usual level while a figure ages, and a crowd chases the worker that
+		// looked emptiest: the older the last figure, the more the mean of the last few counts.
+		fresh := math.Exp(-max(0, w.now-w.figures[n-1].at).Seconds() / max(w.runs.mean(), 0.1))
+		c.room = w.size.plus(-1, mine).plus(-fresh, w.figures[n-1].others)
+		for _, f := range w.figures {
+			c.room = c.room.plus((fresh-1)/float64(n), f.others)
+		}
+	}
+	if !slices.Contains(w.fields, FieldFreeMemory) {
+		c.room.memory = math.Inf(1)
+	}
+	if age := w.now - w.startedAt; w.cold && age < w.warmAfter {
+		c.warmth = w.coldFrom + (1-w.coldFrom)*max(0, age.Seconds()/w.warmAfter.Seconds())
+		for _, e := range w.errands {
+			if e.sent+w.window > w.now {
+				c.spent += e.work
+			}
 		}
-		w.zone, w.kind, w.cell = e.Zone, e.Kind, e.Cell
 	}
-	if w.standing != e.Standing {
-		w.standing = e.Standing
-		if e.Standing == Gone {
-			w.release()
-		}
+	w.desk.put(offer{w.at, c})
+}
+
+func (w *worker) follow(e Entry) {
+	if e.Standing == Gone {
+		e.Zone, e.Kind, e.Cell = w.listed.Zone, w.listed.Kind, w.listed.Cell
+		w.release()
+	} else if e.Restarted && (!w.cold || e.StartedAt > w.startedAt) {
+		w.cold, w.startedAt, w.figures, w.load, w.paces = true, e.StartedAt, nil, nil, nil
+		w.aside, w.trial, w.missed = false, 0, 0
+		w.release()
 	}
-	w.door.scout.put(round{w.at, w.standing == Ready, w.aside})
+	w.listed = e
 }
 
 func (w *worker) find(inv, fwd int) *errand {
-	for i := range w.errands {
-		if e := &w.errands[i]; e.inv == inv && e.fwd == fwd && e.end == 0 {
-			return e
-		}
+	at := slices.IndexFunc(w.errands, func(e errand) bool { return e.inv == inv && e.fwd == fwd && e.end == 0 })
+	if at < 0 {
+		return nil
 	}
-	return nil
+	return &w.errands[at]
 }
 
 // release tells the desk that what is out here is not to be waited for.
 func (w *worker) release() {
 	for _, e := range w.errands {
 		if e.end == 0 {
-			w.door.desk.put(stuck{e.inv, e.fwd})
+			w.desk.put(stuck{e.inv, e.fwd})
 		}
 	}
 }
 
-func (w *worker) report(load []float64, at time.Duration) {
-	for i, field := range w.door.reports {
-		if i >= len(load) {
-			return
-		}
-		switch field {
-		case FieldFreeSlots:
-			w.free, w.known, w.full, w.figureAt = math.Round(load[i]), true, false, at
-			w.size = max(w.size, w.free)
-			w.queue = 0
-		case FieldFreeMemory:
-			w.memory = load[i]
-		}
-	}
-	for i, field := range w.door.reports {
-		if field == FieldWaiting && i < len(load) {
-			w.queue = math.Round(load[i])
+func (w *worker) answered(a Answer) {
+	switch a.Result {
+	case Succeeded:
+		w.missed, w.answers = 0, w.answers+1
+		w.report(a.Load)
+		w.comeBack(w.answers >= asideProbes)
+	case Full: // its probes are capped, which tells nothing of it
+	default:
+		w.answers, w.missed = 0, w.missed+1
+		if w.missed > 1 || w.lastSign < w.now-a.Took {
+			w.setAside("probes go unanswered", true)
 		}
 	}
-	w.errands = slices.DeleteFunc(w.errands, func(e errand) bool {
-		return e.end != 0 && e.end < w.figureAt && e.sent+w.door.fall < w.home.now
-	})
 }
 
-func (w *worker) finish(n ended) {
-	now := w.home.now
-	e := w.find(n.inv, n.fwd)
-	if e == nil {
-		w.door.desk.put(n)
+// report takes a load report in. One that equals the last to the letter is the same figure seen again.
+func (w *worker) report(load []float64) {
+	if len(load) < len(w.fields) || slices.Equal(load, w.load) || !slices.Contains(w.fields, FieldFreeSlots) {
 		return
 	}
-	if n.load != nil {
-		w.report(n.load, now)
-		if e = w.find(n.inv, n.fwd); e == nil {
-			return
-		}
-	}
-	e.end = now
-	switch n.result {
-	case Succeeded:
-		n.ran = now - e.sent
-		if e.started {
-			n.ran = now - e.heard
-		}
-		w.lastSign = now
-		if e.work > 0 {
-			w.pace.add(n.ran.Seconds() / e.work)
-		}
-		w.errors.add(0)
-		w.revive()
-		if w.trial > 0 {
-			w.trial--
-		}
-		if w.trial == 0 && w.errors.mean() == 0 && len(w.errors) >= sampleCount/2 {
-			w.asides = 0
-		}
-	case Failed, Broken:
-		w.lastSign = now
-		w.errors.add(1)
-		if w.errors.mean()*float64(len(w.errors)) >= 2 || w.trial > 0 {
+	var free, waiting need
+	for i, field := range w.fields {
+		switch field {
+		case FieldFreeSlots:
+			free.slots = math.Round(load[i])
+		case FieldFreeMemory:
+			free.memory = load[i]
+		case FieldWaiting:
+			waiting.slots = math.Round(load[i])
+		}
+	}
+	w.size = need{max(w.size.slots, free.slots), max(w.size.memory, free.memory)}
+	free = free.plus(-1, waiting)
+	var fit, differ misfit
+	for i, lag := range lags {
+		fit[i] = free.plus(1, w.held(w.now-lag)).slots
+		differ[i] = (fit[i] - w.fit[i]) * (fit[i] - w.fit[i])
+	}
+	if w.load != nil {
+		w.desk.put(differ)
+	}
+	w.fit, w.load = fit, slices.Clone(load)
+	w.figure(w.now-w.lag, free)
+	oldest := w.now - max(lags[len(lags)-1], w.window)
+	w.errands = slices.DeleteFunc(w.errands, func(e errand) bool { return e.end != 0 && e.end < oldest })
+}
+
+// figure keeps what others must have held when so much was free.
+func (w *worker) figure(at time.Duration, free need) {
+	others := w.size.plus(-1, free).plus(-1, w.held(at))
+	w.figures = append(w.figures, figure{at, need{max(0, others.slots), max(0, others.memory)}})
+	w.figures = w.figures[max(0, len(w.figures)-figureCount):]
+}
+
+// finish books the end of a forward and hands it on.
+func (w *worker) finish(n about, o Outcome) {
+	if o.Load != nil {
+		w.report(o.Load)
+	}
+	if e := w.find(n.inv, o.Forward); e != nil {
+		e.end = w.now
+		w.lastSign = w.now
+		switch o.Result {
+		case Succeeded:
+			if n.ran = w.now - e.sent; e.started {
+				n.ran = w.now - e.heard
+			}
+			w.runs.add(n.ran.Seconds(), sampleCount)
+			if e.work > 0 {
+				w.paces.add(n.ran.Seconds()/e.work, sampleCount)
+			}
+			w.comeBack(true)
+			if w.trial = max(0, w.trial-1); w.trial == 0 {
+				w.asides = max(0, w.asides-1)
+			}
+		case Failed, Broken:
+			// One that fails fast shows the most free slots and would draw all work.
 			w.setAside("fails what it gets", false)
-			w.errors = nil
-		}
-	case Full:
-		w.lastSign = now
-		e.sent, e.end = 0, 1
-		w.free, w.queue, w.figureAt, w.full = 0, 0, now, true
-	case Unreachable:
-		e.sent, e.end = 0, 1
-		w.setAside("can't be reached", true)
-	case Cancelled:
-		// The worker may go on with it: its slots stay counted for as long as it would have run.
-		if left := time.Duration(e.work * max(1, w.pace.middle()) * float64(time.Second)); e.sent+left > now {
-			e.end = e.sent + left
+		case Cancelled:
+			// It may go on: its slots stay counted for as long as it would have run.
+			e.end = max(w.now, e.sent+seconds(e.work*max(0.5, w.paces.middle())))
+		case Full, Unreachable, NotSent:
+			*e = errand{end: 1}
+			if o.Result == Full {
+				w.figure(w.now, need{})
+			} else if o.Result == Unreachable {
+				w.setAside("can't be reached", true)
+			}
 		}
-	case NotSent:
-		e.sent, e.end = 0, 1
 	}
-	w.door.desk.put(n)
+	w.desk.put(n)
 }
 
-// revive ends a set-aside for silence: a sign of our own work is better proof than any probe.
-func (w *worker) revive() {
-	if w.aside && w.home.now >= w.asideTill {
-		w.aside, w.trial = false, trialRuns
-		w.door.scout.put(round{w.at, w.standing == Ready, false})
+// comeBack ends a set-aside, once what it takes was seen: answered probes or a sign of our own work.
+func (w *worker) comeBack(seen bool) {
+	if w.aside && seen && w.now >= w.asideTill {
+		w.aside, w.trial = false, trialRuns*max(1, w.asides)
+		w.log("worker %v is back, on trial", w.id)
 	}
 }
 
 func (w *worker) setAside(why string, silent bool) {
-	if w.standing != Ready {
-		return
-	}
-	if !w.aside {
-		w.asideTill = w.home.now + min(asideFirst<<w.asides, asideMost)
-		w.asides = min(w.asides+1, 5)
-		w.aside, w.answers = true, 0
-		w.home.log("worker %v set aside: %s", w.id, why)
-		w.door.scout.put(round{w.at, true, true})
+	if !w.aside && w.listed.Standing == Ready {
+		w.asideTill = w.now + min(asideFirst<<w.asides, asideMost)
+		w.aside, w.answers, w.asides = true, 0, min(w.asides+1, 5)
+		w.log("worker %v is set aside: %s", w.id, why)
 	}
 	if silent {
 		w.release()
 	}
 }
 
-// watch looks for signs that are overdue. A hung worker shows the most free slots and would draw all work.
+// watch probes now and then and looks for signs that are overdue. A hung worker shows the most free slots and would
+// draw all work; one whose figures show no room may just be working through what waits, so it gets longer.
 func (w *worker) watch() {
-	for i := range w.errands {
-		e := &w.errands[i]
-		if e.end != 0 {
-			continue
-		}
-		last := max(e.sent, w.lastSign)
-		wait := patience
-		if w.known && w.free <= 0 {
-			wait = time.Second
+	if w.now >= w.probeAt && w.probes && w.listed.Standing == Ready {
+		w.probeAt = w.now + w.every/2 + time.Duration(w.rng.Int63n(int64(w.every+1)))
+		if w.aside {
+			w.probeAt = w.now + asideFirst/2
 		}
-		switch progress := w.door.signs.progress; {
-		case progress > 0 && (e.heard > 0 || !w.door.signs.start):
-			wait += progress
-		case w.door.signs.start && !e.started:
+		w.do(Probe{w.id})
+	}
+	wait := patience + w.lag
+	if n := len(w.figures); n > 0 && w.size.plus(-1, w.figures[n-1].others).plus(-1, w.held(w.now)).slots < 0 {
+		wait += seconds(3 * w.runs.mean())
+	}
+	for _, e := range w.errands {
+		due := e.sent
+		switch {
+		case e.end != 0 || w.aside:
+			continue
+		case w.tellsStart && !e.started:
+		case w.progress > 0:
+			due = max(due, e.heard) + w.progress
 		default:
-			wait += time.Duration(4 * e.work * max(1, w.pace.middle()) * float64(time.Second))
+			due += seconds(4 * e.work * max(1, w.paces.middle()))
 		}
-		if w.home.now > last+wait && !w.aside {
+		if w.now > max(due, w.lastSign)+wait {
 			w.setAside("silent", true)
-			return
 		}
 	}
 }
 
 // operation is what decisions use of an operation.
 type operation struct {
-	weight            float64
+	weight, stretch   float64
 	objective, window time.Duration
-	stretch           float64
 	late              bool // an answer after the objective still has a value
 	effect            Effect
 	scope             Scope
 	kind              int
-	ratios            samples // running time over hinted cost, of finishes
-	sizes             samples // running time of finishes
-	most              time.Duration
+	ratios, sizes     samples       // running time over hinted cost, and running time, of finishes
+	most              time.Duration // the longest a client has been ready to wait
 }
 
 // tried is a forward as its invocation sees it.
@@ -663,60 +601,47 @@
 type inv struct {
 	id             InvID
 	op, tenant     int
-	dueBy, givenUp time.Duration // latency objective, client timeout
-	slots, memory  float64
-	hint, work     float64
-	weight, rank   float64
-	held, done     bool
-	tries          []tried
-	cloned         bool
-}
-
-// desk holds invocations and decides on them.
-type desk struct {
-	inbox
-	door    *Dispatcher
-	ops     []operation
-	invs    []inv
-	spare   []int
-	held    []int // by rank, highest first
-	board   []card
-	allowed Allowances
-	late    time.Duration
-	jobs    float64
-	clones  float64
-	part    float64 // our part of a cold worker's budget, times multiple and span
-	paces   []float64
-	refused map[[3]int]*refusal
+	dueBy, givenUp time.Duration // its latency objective, its client timeout
+	need
+	hint, work, weight, rank float64
+	held, done               bool
+	tries                    []tried
 }
 
+// refusal is how long a worker is passed over for one tenant's operation.
 type refusal struct {
 	till  time.Duration
 	times int
 }
 
-func newDesk(d *Dispatcher, dep Deployment) desk {
-	k := desk{inbox: inbox{home: &d.house}, door: d, allowed: dep.Allowed, refused: map[[3]int]*refusal{}}
-	for _, o := range dep.Operations {
-		weight := o.BilledValue
-		if weight <= 0 {
-			weight = 1
-		}
-		k.ops = append(k.ops, operation{weight: weight, objective: o.LatencyObjective, window: o.DedupWindow,
-			stretch: o.Stretch, late: o.LateValue > 0, effect: o.Effect, scope: o.Scope, kind: o.Kind})
-	}
-	k.part = dep.Rules.FallMultiple * dep.Rules.Fall.Seconds() / float64(max(1, dep.Peers))
-	return k
-}
-
+// desk holds invocations and decides on them.
+type desk struct {
+	inbox
+	door         *Dispatcher
+	zone         int
+	allowed      Allowances
+	part         float64 // our part of a cold worker's budget, in seconds of its capacity
+	each         float64 // probes that an invocation pays for
+	ops          []operation
+	invs         []inv
+	spare        []int
+	held         []int // by rank, highest first
+	board        []card
+	paces        []float64 // by kind
+	jobs, clones float64
+	arrivals     samples
+	misfits      [len(lags)]samples
+	refused      map[[3]int]refusal // by worker, operation, tenant
+}
+
+// slot finds a place for a new invocation.
 func (k *desk) slot() int {
-	if n := len(k.spare); n > 0 {
-		i := k.spare[n-1]
-		k.spare = k.spare[:n-1]
-		return i
+	if len(k.spare) == 0 {
+		k.spare, k.invs = append(k.spare, len(k.invs)), append(k.invs, inv{})
 	}
-	k.invs = append(k.invs, inv{})
-	return len(k.invs) - 1
+	i := k.spare[len(k.spare)-1]
+	k.spare = k.spare[:len(k.spare)-1]
+	return i
 }
 
 func (k *desk) read(note any) {
@@ -726,66 +651,99 @@
 			k.board = append(k.board, card{})
 		}
 		k.board[n.at] = n.card
-	case came:
-		k.take(n)
-	case ended:
-		k.ended(n)
+	case misfit:
+		for i, v := range n {
+			k.misfits[i].add(v, lagSamples)
+		}
 	case stuck:
-		j := &k.invs[n.inv]
-		if !j.done && n.fwd < len(j.tries) {
+		if j := &k.invs[n.inv]; !j.done && n.fwd < len(j.tries) {
 			j.tries[n.fwd].stuck = true
 			k.again(n.inv)
 		}
-	case closed:
-		k.land(n.inv, n.but)
+	case tick:
+		k.learn()
 	case choose:
 		k.choose()
+	case about:
+		switch e := n.event.(type) {
+		case Arrival:
+			k.take(n.inv, e)
+		case Outcome:
+			k.ended(n, e)
+		case Streaming:
+			k.land(n.inv, e.Forward)
+		case Withdrawn:
+			k.land(n.inv, -1)
+		}
 	}
 }
 
-// take puts an invocation into the hold.
-func (k *desk) take(n came) {
-	now, o := k.home.now, &k.ops[n.Operation]
-	j := &k.invs[n.inv]
-	*j = inv{id: n.Inv, op: n.Operation, tenant: n.Tenant, givenUp: now + n.Budget, slots: max(1, n.Slots),
-		memory: n.Memory, hint: n.Hint, work: n.Hint, tries: j.tries[:0], weight: o.weight}
+// learn works out what the last samples tell of the pool: each kind's usual pace, the age of reports (the lag at
+// which free slots plus our own vary least from one report to the next), and how often probes pay.
+func (k *desk) learn() {
+	byKind, all, lag := []samples{}, samples{}, 0
+	for _, c := range k.board {
+		for len(byKind) <= c.kind {
+			byKind = append(byKind, nil)
+		}
+		if c.pace > 0 && c.warmth == 1 {
+			byKind[c.kind], all = append(byKind[c.kind], c.pace), append(all, c.pace)
+		}
+	}
+	k.paces = k.paces[:0]
+	for _, s := range byKind {
+		k.paces = append(k.paces, cmp.Or(s.middle(), all.middle(), 1))
+	}
+	for i, s := range k.misfits {
+		if len(s) >= sampleCount && s.mean() < k.misfits[lag].mean() {
+			lag = i
+		}
+	}
+	rate := float64(probeFloor)
+	if n := len(k.arrivals); n > 1 {
+		rate += k.each * float64(n) / max(0.1, k.now.Seconds()-k.arrivals[0])
+	}
+	for _, w := range k.door.workers {
+		w.put(pooled{lags[lag], seconds(float64(len(k.board)) / rate)})
+	}
+}
+
+// take puts a new invocation into the hold.
+func (k *desk) take(i int, a Arrival) {
+	o, j := &k.ops[a.Operation], &k.invs[i]
+	*j = inv{id: a.Inv, op: a.Operation, tenant: a.Tenant, givenUp: k.now + a.Budget, hint: a.Hint, work: a.Hint,
+		need: need{max(1, a.Slots), a.Memory}, weight: o.weight, tries: j.tries[:0]}
 	if j.work <= 0 {
 		j.work = o.sizes.mean()
 	}
-	// What is left of a client's later try tells how long it has waited already: its objective counts from the first.
-	o.most = max(o.most, n.Budget)
-	j.dueBy = now - (o.most - n.Budget) + o.objective + time.Duration(o.stretch*j.work*float64(time.Second))
+	// What is left of a later try tells how long its client has waited: the objective counts from the first try.
+	o.most = max(o.most, a.Budget)
+	j.dueBy = min(j.givenUp, k.now-(o.most-a.Budget)+o.objective+seconds(o.stretch*j.work))
 	if o.late {
 		j.dueBy = j.givenUp
 	}
-	j.dueBy = min(j.dueBy, j.givenUp)
 	k.jobs++
-	k.hold(n.inv)
+	k.arrivals.add(k.now.Seconds(), lagSamples)
+	k.hold(i)
 }
 
+// hold ranks an invocation among those held.
 func (k *desk) hold(i int) {
 	j := &k.invs[i]
-	if j.held {
-		return
+	j.held, j.rank = true, j.weight
+	if j.work > 0 {
+		j.rank = j.weight / (j.work * (1 + spreadTimes*k.ops[j.op].ratios.deviation()))
 	}
-	o := &k.ops[j.op]
-	j.rank = j.weight / max(1e-9, j.work*(1+spreadTimes*o.ratios.deviation()))
-	if j.work <= 0 {
-		j.rank = j.weight
+	at := 0
+	for at < len(k.held) && k.invs[k.held[at]].rank >= j.rank {
+		at++
 	}
-	at, _ := slices.BinarySearchFunc(k.held, j.rank, func(other int, rank float64) int {
-		if k.invs[other].rank >= rank {
-			return -1
-		}
-		return 1
-	})
 	k.held = slices.Insert(k.held, at, i)
-	j.held = true
 }
 
 func (k *desk) unhold(i int) {
-	if j := &k.invs[i]; j.held {
-		j.held = false
+	if k.invs[i].held {
+		k.invs[i].held = false
 		k.held = slices.DeleteFunc(k.held, func(other int) bool { return other == i })
 	}
 }
@@ -816,307 +774,217 @@
 // again holds an invocation once more if it may be sent again and nothing good is out.
 func (k *desk) again(i int) {
 	j := &k.invs[i]
-	o := &k.ops[j.op]
 	out, hoped := j.live()
 	if j.done || j.held || hoped > 0 {
 		return
 	}
-	most := 2
-	if !k.allowed.SecondCopies {
-		most = 1
-	}
-	b := j.bound()
-	may := o.effect == Idempotent || b == nil ||
-		o.effect == Deduplicated && k.home.now < b.sent+o.window
-	may = may && len(j.tries) < max(1, k.allowed.MaxForwards) && !k.hopeless(j)
-	if may && out < most {
+	if k.may(j, out) && !k.hopeless(j) {
 		k.hold(i)
 	} else if out == 0 {
 		k.giveUp(i)
 	}
 }
 
-// hopeless tells whether no worker could end it within its latency objective.
-func (k *desk) hopeless(j *inv) bool {
-	return k.home.now+time.Duration(j.work*k.bestPace(k.ops[j.op].kind)*float64(time.Second)) > j.dueBy
+// may tells whether the effect class and the limits allow one more forward.
+func (k *desk) may(j *inv, out int) bool {
+	o, b := &k.ops[j.op], j.bound()
+	if len(j.tries) >= max(1, k.allowed.MaxForwards) || out > 1 || out > 0 && !k.allowed.SecondCopies {
+		return false
+	}
+	return b == nil || o.effect == Idempotent || o.effect == Deduplicated && k.now < b.sent+o.window
 }
 
-// bestPace is the shortest running time for a unit of work among workers that may be sent to.
-func (k *desk) bestPace(kind int) float64 {
+// hopeless tells whether no worker could end it within its latency objective.
+func (k *desk) hopeless(j *inv) bool {
 	best := math.Inf(1)
-	for _, c := range k.board {
-		if c.open && c.pace > 0 && (kind < 0 || kind == c.kind) {
-			best = min(best, c.pace)
+	for kind, pace := range k.paces {
+		if want := k.ops[j.op].kind; want < 0 || want == kind {
+			best = min(best, pace)
 		}
 	}
-	if math.IsInf(best, 1) {
-		return 0
-	}
-	return best
+	return len(k.paces) > 0 && k.now+seconds(j.work*best) > j.dueBy
 }
 
 // giveUp ends an invocation with nothing out.
 func (k *desk) giveUp(i int) {
 	j := &k.invs[i]
 	o := &k.ops[j.op]
-	if b := j.bound(); b == nil || o.effect == Idempotent || o.effect == Deduplicated && o.scope == ScopeAll {
+	if j.bound() == nil || o.effect == Idempotent || o.effect == Deduplicated && o.scope == ScopeAll {
 		after := time.Duration(0)
 		if k.allowed.RetryAfter {
 			after = min(k.allowed.MaxRetryAfter, time.Second)
 		}
-		k.home.do(Throttled{j.id, after})
+		k.do(Throttled{j.id, after})
 	} else {
-		k.home.do(Errored{j.id})
+		k.do(Errored{j.id})
 	}
 	k.land(i, -1)
 }
 
-// land ends the wait for an invocation whose final answer is given.
+// land ends the wait for an invocation whose final answer is given; forward but, if any, goes on.
 func (k *desk) land(i, but int) {
 	j := &k.invs[i]
 	k.unhold(i)
-	out := 0
-	for f := range j.tries {
-		if j.tries[f].out {
-			out++
-			if !j.done && f != but && k.allowed.Cancel {
-				k.home.do(Cancel{j.id, f})
-			}
+	for f, t := range j.tries {
+		if t.out && !j.done && f != but && k.allowed.Cancel {
+			k.do(Cancel{j.id, f})
 		}
 	}
 	j.done = true
-	if out == 0 {
+	if out, _ := j.live(); out == 0 {
 		k.door.put(freed{j.id})
 		k.spare = append(k.spare, i)
 	}
 }
 
-func (k *desk) ended(n ended) {
+func (k *desk) ended(n about, e Outcome) {
 	j := &k.invs[n.inv]
-	if n.fwd >= len(j.tries) || !j.tries[n.fwd].out {
+	if e.Forward >= len(j.tries) || !j.tries[e.Forward].out {
 		return
 	}
-	t := &j.tries[n.fwd]
-	t.out = false
-	t.ran = n.result != Full && n.result != Unreachable && n.result != NotSent
-	o := &k.ops[j.op]
-	if n.result == Succeeded {
-		o.sizes.add(n.ran.Seconds())
-		if j.hint > 0 {
-			o.ratios.add(n.ran.Seconds() / j.hint)
-		}
-	}
+	t, o := &j.tries[e.Forward], &k.ops[j.op]
+	t.out, t.ran = false, e.Result != Full && e.Result != Unreachable && e.Result != NotSent
 	key := [3]int{t.at, j.op, j.tenant}
-	if r := k.refused[key]; n.result == Full {
-		if r == nil {
-			r = &refusal{}
-			k.refused[key] = r
-		}
-		// One that turns this tenant away while probes show room would draw the top invocation for ever.
-		r.till = k.home.now + min(50*time.Millisecond<<min(r.times, 8), 4*time.Second)
-		r.times++
-	} else if n.result == Succeeded && r != nil {
+	switch e.Result {
+	case Succeeded:
 		delete(k.refused, key)
+		o.sizes.add(n.ran.Seconds(), sampleCount)
+		if j.hint > 0 {
+			o.ratios.add(n.ran.Seconds()/j.hint, sampleCount)
+		}
+	case Full:
+		// One that turns a tenant away while its probes show room would draw that tenant's top invocation for ever.
+		r := k.refused[key]
+		k.refused[key] = refusal{k.now + min(50*time.Millisecond<<min(r.times, 8), 4*time.Second), r.times + 1}
 	}
-	switch {
-	case j.done || n.closed || n.result == Succeeded:
+	switch out, _ := j.live(); {
+	case j.done || e.Closed || e.Result == Succeeded:
 		k.land(n.inv, -1)
-	case k.home.now >= j.givenUp || n.result == NotSent:
-		if out, _ := j.live(); out == 0 {
-			k.home.do(Errored{j.id})
-			k.land(n.inv, -1)
-		}
-	default:
+	case k.now < j.givenUp && e.Result != NotSent:
 		k.again(n.inv)
+	case out == 0 && !j.held:
+		k.do(Errored{j.id})
+		k.land(n.inv, -1)
 	}
 }
 
-// choose is the design's step: rank, running set, release, clones.
+// choose is the design's step: running set, release in rank order, clones from what room is left.
 func (k *desk) choose() {
-	if len(k.held) == 0 {
-		return
-	}
-	k.kindPaces()
-	total := 0.0
+	total, above := 0.0, 0.0
 	for _, i := range slices.Clone(k.held) {
 		j := &k.invs[i]
-		if k.hopeless(j) {
-			if out, _ := j.live(); out == 0 {
-				k.giveUp(i)
-			} else {
-				k.unhold(i)
-			}
-			continue
+		if out, _ := j.live(); !k.hopeless(j) {
+			total += j.weight
+		} else if out == 0 {
+			k.giveUp(i)
+		} else {
+			k.unhold(i)
 		}
-		total += j.weight
 	}
-	running, top := []int(nil), 0.0
+	var running []int
 	for _, i := range slices.Clone(k.held) {
 		j := &k.invs[i]
-		inSet := top < epsilon*total
-		top += j.weight
-		at := k.pick(j)
-		if at < 0 {
-			continue
-		}
-		k.send(i, at)
-		if inSet && k.ops[j.op].effect == Idempotent && !j.cloned {
-			running = append(running, i)
+		inSet := above < epsilon*total
+		above += j.weight
+		if at, _ := k.pick(j); at >= 0 {
+			k.send(i, at)
+			if inSet && k.ops[j.op].effect == Idempotent && len(j.tries) == 1 {
+				running = append(running, i)
+			}
 		}
 	}
-	if len(k.held) > 0 || !k.allowed.SecondCopies {
-		return
-	}
-	slices.SortStableFunc(running, func(a, b int) int {
-		return int(math.Copysign(1, k.invs[b].weight-k.invs[a].weight))
-	})
+	slices.SortStableFunc(running, func(a, b int) int { return cmp.Compare(k.invs[b].weight, k.invs[a].weight) })
 	for _, i := range running {
-		j := &k.invs[i]
-		if out, _ := j.live(); out != 1 || len(j.tries) >= k.allowed.MaxForwards {
-			continue
-		}
-		if k.clones+1 >= cloneShare*k.jobs || !k.roomy() {
+		at, roomy := k.pick(&k.invs[i])
+		if len(k.held) > 0 || !roomy || k.clones+1 >= cloneShare*k.jobs || !k.may(&k.invs[i], 1) {
 			return
 		}
-		if at := k.pick(j); at >= 0 {
+		if at >= 0 {
 			k.clones++
-			j.cloned = true
 			k.send(i, at)
 		}
 	}
 }
 
-// roomy tells whether over half the pooled workers show room.
-func (k *desk) roomy() bool {
-	pooled, room := 0, 0
-	for _, c := range k.board {
-		if c.open {
-			pooled++
-			if c.room >= 1 {
-				room++
-			}
-		}
-	}
-	return 2*room > pooled
-}
-
 func (k *desk) send(i, at int) {
 	j, c := &k.invs[i], &k.board[at]
 	k.unhold(i)
-	j.tries = append(j.tries, tried{at: at, sent: k.home.now, out: true})
-	k.home.do(Forward{j.id, k.door.workers[at].id})
-	c.room -= j.slots
-	c.mine += j.slots
-	c.memory -= j.memory
-	c.spent += j.work
-	k.door.workers[at].put(sent{errand{inv: i, fwd: len(j.tries) - 1, slots: j.slots, memory: j.memory, work: j.work,
-		sent: k.home.now}})
-}
-
-// kindPaces works out the usual pace of each kind from its workers, for those that have none of their own.
-func (k *desk) kindPaces() {
-	k.paces = k.paces[:0]
-	all := samples{}
-	for _, c := range k.board {
-		for len(k.paces) <= c.kind {
-			k.paces = append(k.paces, 0)
-		}
-	}
-	for kind := range k.paces {
-		mine := samples{}
-		for _, c := range k.board {
-			if c.kind == kind && c.pace > 0 && c.warmth == 1 {
-				mine = append(mine, c.pace)
-				all = append(all, c.pace)
-			}
-		}
-		k.paces[kind] = mine.middle()
-	}
-	for kind := range k.paces {
-		if k.paces[kind] == 0 {
-			k.paces[kind] = max(1, all.middle())
-		}
-	}
+	j.tries = append(j.tries, tried{at: at, sent: k.now, out: true})
+	k.do(Forward{j.id, k.door.workers[at].id})
+	c.room = c.room.plus(-1, j.need)
+	c.mine, c.spent = c.mine+j.slots, c.spent+j.work
+	k.door.workers[at].put(sent{errand{inv: i, fwd: len(j.tries) - 1, need: j.need, work: j.work, sent: k.now}})
 }
 
-// pick chooses the worker for an invocation, or -1 where no room seems free.
-func (k *desk) pick(j *inv) int {
-	pooled, known, room, mine := 0.0, 0.0, 0.0, 0.0
+// pick chooses the worker with most free slots less our sends, or -1 where no room seems free. It tells too whether
+// over half the pooled workers show room.
+func (k *desk) pick(j *inv) (best int, roomy bool) {
+	var pooled, known, roomCount, room, mine float64
 	for _, c := range k.board {
 		if c.open {
-			pooled++
-			mine += c.mine
+			pooled, mine = pooled+1, mine+c.mine
 			if c.known {
-				known++
-				room += c.room
+				known, room = known+1, room+c.room.slots
+			}
+			if c.room.slots >= 1 {
+				roomCount++
 			}
 		}
 	}
-	meanRoom, meanMine := room/max(1, known), mine/max(1, pooled)
-	best, bestRoom, bestPace := -1, 0.0, 0.0
-	from := k.home.rng.Intn(max(1, len(k.board)))
+	best = -1
+	var bestRoom, bestPace float64
+	from := k.rng.Intn(max(1, len(k.board)))
 	for n := range k.board {
 		at := (from + n) % len(k.board)
 		c := &k.board[at]
-		if !k.fits(j, at, c) {
-			continue
-		}
-		has := c.room
+		has, pace := c.room.slots, k.paceOf(c)
 		if !c.known {
-			has = meanRoom
+			has = room / max(1, known) // new to the pool: it counts at the mean
 		}
 		if known == 0 {
 			// No figure of free slots anywhere: the workers where we have least, up to the mean.
-			if c.mine > meanMine {
+			if has = 1e3 - c.mine; c.mine > mine/max(1, pooled) {
 				continue
 			}
-			has = 1e3 - c.mine
 		}
 		if c.trial {
 			has = min(has, 1-c.mine)
 		}
-		pace := c.pace
-		if pace == 0 {
-			pace = k.paces[c.kind]
-		}
-		pace /= c.warmth
-		if has < j.slots || k.home.now+time.Duration(j.work*pace*float64(time.Second)) > j.dueBy {
+		if has = math.Round(has); has < j.slots || !k.fits(j, at, c) || k.now+seconds(j.work*pace) > j.dueBy {
 			continue
 		}
+		if c.zone == k.zone {
+			has += 0.5 // among equals the own zone, then the faster one
+		}
 		if best < 0 || has > bestRoom || has == bestRoom && pace < bestPace {
 			best, bestRoom, bestPace = at, has, pace
 		}
 	}
-	return best
+	return best, 2*roomCount > pooled
 }
 
-func (k *desk) fits(j *inv, at int, c *card) bool {
-	o := &k.ops[j.op]
-	if !c.open || o.kind >= 0 && o.kind != c.kind || c.memory < j.memory {
-		return false
+// paceOf is a worker's running time for a unit of work as it is now.
+func (k *desk) paceOf(c *card) float64 {
+	pace := c.pace
+	if pace == 0 && c.kind < len(k.paces) {
+		pace = k.paces[c.kind]
 	}
-	if r := k.refused[[3]int{at, j.op, j.tenant}]; r != nil && r.till > k.home.now {
+	return cmp.Or(pace, 1) / c.warmth
+}
+
+// fits tells whether a worker may get an invocation at all.
+func (k *desk) fits(j *inv, at int, c *card) bool {
+	o, b := &k.ops[j.op], j.bound()
+	if !c.open || o.kind >= 0 && o.kind != c.kind || c.known && c.room.memory < j.memory ||
+		c.trial && o.effect == NonIdempotent || k.refused[[3]int{at, j.op, j.tenant}].till > k.now ||
+		slices.ContainsFunc(j.tries, func(t tried) bool { return t.at == at && (t.out || t.ran) }) {
 		return false
 	}
-	for _, t := range j.tries {
-		if t.at == at && (t.out || t.ran) {
-			return false
-		}
-	}
-	if b := j.bound(); b != nil && o.effect == Deduplicated {
+	if b != nil && o.effect == Deduplicated {
 		first := &k.board[b.at]
 		if o.scope == ScopeZone && first.zone != c.zone || o.scope == ScopeCell && first.cell != c.cell {
 			return false
 		}
 	}
-	if c.warmth < 1 {
-		size := c.size
-		if size == 0 {
-			size = 1
-		}
-		if c.spent+j.work > 0.8*k.part*c.warmth*size/k.paces[c.kind] {
-			return false
-		}
-	}
-	return true
+	return c.warmth == 1 || c.spent+j.work <= k.part*c.warmth*max(1, c.size)/(k.paceOf(c)*c.warmth)
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -93,7 +93,19 @@
 }
 
 // Event is something that has happened; Handle takes those of one moment in the order of arrival.
-type Event interface{}
+type Event interface {
+	// About names the invocation and the worker that it is about; zero: none.
+	About() (InvID, WorkerID)
+}
+
+func (e Arrival) About() (InvID, WorkerID)   { return e.Inv, WorkerID{} }
+func (e Streaming) About() (InvID, WorkerID) { return e.Inv, WorkerID{} }
+func (e Sign) About() (InvID, WorkerID)      { return e.Inv, e.Worker }
+func (e Outcome) About() (InvID, WorkerID)   { return e.Inv, e.Worker }
+func (e Withdrawn) About() (InvID, WorkerID) { return e.Inv, WorkerID{} }
+func (e Answer) About() (InvID, WorkerID)    { return 0, e.Worker }
+func (e Due) About() (InvID, WorkerID)       { return 0, WorkerID{} }
+func (e Listing) About() (InvID, WorkerID)   { return 0, WorkerID{} }
 
 // Arrival is a new invocation, which from now on is owed one final answer.
 type Arrival struct {
@@ -149,7 +161,7 @@
 // Answer is the end of a probe.
 type Answer struct {
 	Worker WorkerID
-	OK     bool
+	Result Result
 	Took   time.Duration
 	Load   []float64
 }
@@ -191,7 +203,7 @@
 }
 
 // Action is something that the caller is to do, in the order given.
-type Action interface{}
+type Action any
 
 // Forward sends an invocation to a worker. Its forwards count from 0 in the order sent.
 type Forward struct {
--- a/internal/simwire/words.go
+++ b/internal/simwire/words.go
@@ -117,22 +117,20 @@
 		o.Closed = c.u8() != 0
 		o.Worker = c.worker()
 		o.Load = c.load()
-		result, known := results[status]
-		if !known && c.err == nil {
-			return nil, fmt.Errorf("unknown status %d", status)
-		}
-		o.Result = result
-		return o, nil
+		var err error
+		o.Result, err = c.result(status)
+		return o, err
 	case evWithdrawn:
 		return dispatch.Withdrawn{Inv: dispatch.InvID(c.u64())}, nil
 	case evTickDue:
 		return dispatch.Due{Token: c.u64()}, nil
 	case evHealth:
 		a := dispatch.Answer{Worker: c.worker()}
-		a.OK = c.u16() == statusOK
-		a.Took = span(c.f64())
-		a.Load = c.load()
-		return a, nil
+		status := c.u16()
+		a.Took, a.Load = span(c.f64()), c.load()
+		var err error
+		a.Result, err = c.result(status)
+		return a, err
 	case evPeer:
 		c.u16()
 		c.take(int(c.u16()))
@@ -179,6 +177,14 @@
 	return list, nil
 }
 
+func (c *cursor) result(status uint16) (dispatch.Result, error) {
+	result, known := results[status]
+	if !known && c.err == nil {
+		return 0, fmt.Errorf("unknown status %d", status)
+	}
+	return result, nil
+}
+
 func (c *cursor) worker() dispatch.WorkerID {
 	b := c.take(6)
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.LittleEndian.Uint16(b[4:]))
