Weigh waiting against slack from measured pace and speed

Cause: hinted cost is about two thirds of the work, so an objective worked out from it gave up what would have been in time. Now speed is the mean of hinted cost over running time, and slack is objective plus running time times (stretch x speed - 1).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,6 +38,7 @@
 	asideProbes = 2                      // answered probes before a worker comes back
 	trialRuns   = 3                      // successes, one at a time, before it counts in full again
 	patience    = 300 * time.Millisecond // for a sign that is due
+	giveUpTimes = 1                      // deviations of running time that giving up allows for
 	coldMargin  = 0.8                    // of our part of a cold worker's budget, as hints are rough
 )
 
@@ -313,7 +314,8 @@
 	open, trial, known bool
 	zone, kind, cell   int
 	room               need
-	mine, size, pace   float64
+	mine, size         float64
+	pace, speed        float64 // running time a unit of hinted work; work a unit of time, if hints are right in the mean
 	warmth, spent      float64
 }
 
@@ -321,24 +323,24 @@
 type worker struct {
 	inbox
 	*terms
-	desk              *inbox
-	id                WorkerID
-	at                int
-	listed            Entry
-	cold, aside       bool
-	startedAt         time.Duration
-	errands           []errand
-	figures           []figure
-	load              []float64     // the last report as it came
-	lag, every        time.Duration // how old a report is when it comes; how often to probe
-	size              need          // the most seen free
-	fit               misfit
-	paces, runs       samples
-	lastSign, probeAt time.Duration
-	asideTill         time.Duration
-	asides            int // how often of late
-	answers, missed   int // probes in a row with and without an answer
-	trial             int // successes still wanted
+	desk                *inbox
+	id                  WorkerID
+	at                  int
+	listed              Entry
+	cold, aside         bool
+	startedAt           time.Duration
+	errands             []errand
+	figures             []figure
+	load                []float64     // the last report as it came
+	lag, every          time.Duration // how old a report is when it comes; how often to probe
+	size                need          // the most seen free
+	fit                 misfit
+	paces, speeds, runs samples
+	lastSign, probeAt   time.Duration
+	asideTill           time.Duration
+	asides              int // how often of late
+	answers, missed     int // probes in a row with and without an answer
+	trial               int // successes still wanted
 }
 
 func (w *worker) read(note any) {
@@ -380,7 +382,8 @@
 // tell lets the desk know how the worker stands.
 func (w *worker) tell() {
 	c := card{open: w.listed.Standing == Ready && !w.aside, trial: w.trial > 0, known: len(w.figures) > 0, warmth: 1,
-		zone: w.listed.Zone, kind: w.listed.Kind, cell: w.listed.Cell, size: w.size.slots, pace: w.paces.middle()}
+		zone: w.listed.Zone, kind: w.listed.Kind, cell: w.listed.Cell, size: w.size.slots, pace: w.paces.middle(),
+		speed: w.speeds.mean()}
 	mine := w.held(w.now)
 	c.mine = mine.slots
 	if n := len(w.figures); n > 0 {
@@ -411,7 +414,8 @@
 		e.Zone, e.Kind, e.Cell = w.listed.Zone, w.listed.Kind, w.listed.Cell
 		w.release()
 	} else if e.Restarted && (!w.cold || e.StartedAt > w.startedAt) {
-		w.cold, w.startedAt, w.figures, w.load, w.paces = true, e.StartedAt, nil, nil, nil
+		w.cold, w.startedAt, w.figures, w.load = true, e.StartedAt, nil, nil
+		w.paces, w.speeds = nil, nil
 		w.aside, w.trial, w.missed = false, 0, 0
 		w.release()
 	}
@@ -505,6 +509,7 @@
 			w.runs.add(n.ran.Seconds(), sampleCount)
 			if e.work > 0 {
 				w.paces.add(n.ran.Seconds()/e.work, sampleCount)
+				w.speeds.add(e.work/max(1e-3, n.ran.Seconds()), sampleCount)
 			}
 			w.comeBack(true)
 			if w.trial = max(0, w.trial-1); w.trial == 0 {
@@ -601,7 +606,7 @@
 type inv struct {
 	id             InvID
 	op, tenant     int
-	dueBy, givenUp time.Duration // its latency objective, its client timeout
+	first, givenUp time.Duration // its first try came, its client timeout
 	need
 	hint, work, weight, rank float64
 	held, done               bool
@@ -627,7 +632,7 @@
 	spare        []int
 	held         []int // by rank, highest first
 	board        []card
-	paces        []float64 // by kind
+	usual        []card // pace and speed by kind
 	jobs, clones float64
 	arrivals     samples
 	misfits      [len(lags)]samples
@@ -681,18 +686,21 @@
 // learn works out what the last samples tell of the pool: each kind's usual pace, the age of reports (the lag at
 // which free slots plus our own vary least from one report to the next), and how often probes pay.
 func (k *desk) learn() {
-	byKind, all, lag := []samples{}, samples{}, 0
+	lag, paces, speeds := 0, [][]float64{{}}, [][]float64{{}}
 	for _, c := range k.board {
-		for len(byKind) <= c.kind {
-			byKind = append(byKind, nil)
+		for len(paces) < c.kind+2 {
+			paces, speeds = append(paces, nil), append(speeds, nil)
 		}
-		if c.pace > 0 && c.warmth == 1 {
-			byKind[c.kind], all = append(byKind[c.kind], c.pace), append(all, c.pace)
+		for _, kind := range []int{0, c.kind + 1} { // 0 gathers all kinds
+			if c.pace > 0 && c.warmth == 1 {
+				paces[kind], speeds[kind] = append(paces[kind], c.pace), append(speeds[kind], c.speed)
+			}
 		}
 	}
-	k.paces = k.paces[:0]
-	for _, s := range byKind {
-		k.paces = append(k.paces, cmp.Or(s.middle(), all.middle(), 1))
+	k.usual = k.usual[:0]
+	for i := range paces {
+		k.usual = append(k.usual, card{pace: cmp.Or(samples(paces[i]).middle(), samples(paces[0]).middle(), 1),
+			speed: cmp.Or(samples(speeds[i]).middle(), samples(speeds[0]).middle(), 1)})
 	}
 	for i, s := range k.misfits {
 		if len(s) >= sampleCount && s.mean() < k.misfits[lag].mean() {
@@ -718,10 +726,7 @@
 	}
 	// What is left of a later try tells how long its client has waited: the objective counts from the first try.
 	o.most = max(o.most, a.Budget)
-	j.dueBy = min(j.givenUp, k.now-(o.most-a.Budget)+o.objective+seconds(o.stretch*j.work))
-	if o.late {
-		j.dueBy = j.givenUp
-	}
+	j.first = k.now - (o.most - a.Budget)
 	k.jobs++
 	k.arrivals.add(k.now.Seconds(), lagSamples)
 	k.hold(i)
@@ -794,15 +799,27 @@
 	return b == nil || o.effect == Idempotent || o.effect == Deduplicated && k.now < b.sent+o.window
 }
 
-// hopeless tells whether no worker could end it within its latency objective.
+// slack is how long an invocation may wait, from its first try, before a worker of such a pace and speed can't end it
+// within its latency objective any more. The objective grows with its own work, so on a fast worker with its size.
+func (k *desk) slack(j *inv, times, pace, speed float64) time.Duration {
+	o := &k.ops[j.op]
+	return o.objective + seconds(j.work*times*pace*(o.stretch*speed-1))
+}
+
+// hopeless tells whether an invocation has waited too long for any kind of worker, even if it is as heavy as its
+// effective size. Before the latency objective itself has passed nothing is hopeless: paces may be wrong.
 func (k *desk) hopeless(j *inv) bool {
-	best := math.Inf(1)
-	for kind, pace := range k.paces {
-		if want := k.ops[j.op].kind; want < 0 || want == kind {
-			best = min(best, pace)
+	o := &k.ops[j.op]
+	if o.late || k.now-j.first <= o.objective {
+		return k.now >= j.givenUp
+	}
+	for kind, u := range k.usual[min(1, len(k.usual)):] {
+		heavy := 1 + giveUpTimes*o.ratios.deviation()
+		if (o.kind < 0 || o.kind == kind) && k.now-j.first <= k.slack(j, heavy, u.pace, u.speed) {
+			return k.now >= j.givenUp
 		}
 	}
-	return len(k.paces) > 0 && k.now+seconds(j.work*best) > j.dueBy
+	return true
 }
 
 // giveUp ends an invocation with nothing out.
@@ -933,11 +950,12 @@
 	}
 	best = -1
 	var bestRoom, bestPace float64
+	bestTimely, timely := false, false
 	from := k.rng.Intn(max(1, len(k.board)))
 	for n := range k.board {
 		at := (from + n) % len(k.board)
 		c := &k.board[at]
-		has, pace := c.room.slots, k.paceOf(c)
+		has := c.room.slots
 		if !c.known {
 			has = room / max(1, known) // new to the pool: it counts at the mean
 		}
@@ -950,26 +968,39 @@
 		if c.trial {
 			has = min(has, 1-c.mine)
 		}
-		if has = math.Round(has); has < j.slots || !k.fits(j, at, c) || k.now+seconds(j.work*pace) > j.dueBy {
+		if !k.fits(j, at, c) {
+			continue
+		}
+		pace, speed := k.paceOf(c)
+		inTime := k.ops[j.op].late || k.now-j.first <= k.slack(j, 1, pace, speed)
+		timely = timely || inTime
+		if has = math.Round(has); has < j.slots {
 			continue
 		}
 		if c.zone == k.zone {
 			has += 0.5 // among equals the own zone, then the faster one
 		}
-		if best < 0 || has > bestRoom || has == bestRoom && pace < bestPace {
-			best, bestRoom, bestPace = at, has, pace
+		if best < 0 || inTime && !bestTimely ||
+			inTime == bestTimely && (has > bestRoom || has == bestRoom && pace < bestPace) {
+			best, bestRoom, bestPace, bestTimely = at, has, pace, inTime
 		}
 	}
+	if timely && !bestTimely {
+		best = -1 // better held for one that can do it in time
+	}
 	return best, 2*roomCount > pooled
 }
 
-// paceOf is a worker's running time for a unit of work as it is now.
-func (k *desk) paceOf(c *card) float64 {
-	pace := c.pace
-	if pace == 0 && c.kind < len(k.paces) {
-		pace = k.paces[c.kind]
+// paceOf is a worker's running time for a unit of hinted work, and its speed, as they are now.
+func (k *desk) paceOf(c *card) (pace, speed float64) {
+	pace, speed = c.pace, c.speed
+	if pace == 0 {
+		pace, speed = 1, 1
+		if c.kind+1 < len(k.usual) {
+			pace, speed = k.usual[c.kind+1].pace, k.usual[c.kind+1].speed
+		}
 	}
-	return cmp.Or(pace, 1) / c.warmth
+	return pace / c.warmth, speed * c.warmth
 }
 
 // fits tells whether a worker may get an invocation at all.
@@ -986,5 +1017,6 @@
 			return false
 		}
 	}
-	return c.warmth == 1 || c.spent+j.work <= k.part*c.warmth*max(1, c.size)/(k.paceOf(c)*c.warmth)
+	pace, _ := k.paceOf(c)
+	return c.warmth == 1 || c.spent+j.work <= k.part*max(1, c.size)/pace
 }
