Give up before the client timeout and by the hinted size alone

Cause: allowing one deviation of running time held large work until its timeout, and a beat too long.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,7 +38,7 @@
 	asideProbes = 2                      // answered probes before a worker comes back
 	trialRuns   = 3                      // successes, one at a time, before it counts in full again
 	patience    = 300 * time.Millisecond // for a sign that is due
-	giveUpTimes = 1                      // deviations of running time that giving up allows for
+	giveUpTimes = 0                      // deviations of running time that giving up allows for
 	coldMargin  = 0.8                    // of our part of a cold worker's budget, as hints are rough
 )
 
@@ -811,12 +811,12 @@
 func (k *desk) hopeless(j *inv) bool {
 	o := &k.ops[j.op]
 	if o.late || k.now-j.first <= o.objective {
-		return k.now >= j.givenUp
+		return k.now+2*beat >= j.givenUp
 	}
 	for kind, u := range k.usual[min(1, len(k.usual)):] {
 		heavy := 1 + giveUpTimes*o.ratios.deviation()
 		if (o.kind < 0 || o.kind == kind) && k.now-j.first <= k.slack(j, heavy, u.pace, u.speed) {
-			return k.now >= j.givenUp
+			return k.now+2*beat >= j.givenUp
 		}
 	}
 	return true
