--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -15,9 +15,10 @@
 )
 
 type instance struct {
-	base   simwire.Base
-	core   *dispatch.Dispatcher // nil until started and after a stop
-	events []dispatch.Event
+	up      *simwire.Up // set until it has been started
+	dialect simwire.Dialect
+	core    *dispatch.Dispatcher // nil until started and after a stop
+	events  []dispatch.Event
 }
 
 func main() {
@@ -61,14 +62,14 @@
 // sortOut hands the batch's events to their instances and lists these in the order of their first event.
 func sortOut(batch simwire.Batch, instances map[uint32]*instance) ([]uint32, error) {
 	var order []uint32
-	base := func(id uint32) simwire.Base {
+	dialect := func(id uint32) (d simwire.Dialect) {
 		if in := instances[id]; in != nil {
-			return in.base
+			d = in.dialect
 		}
-		return simwire.Base(batch.Clock)
+		return d
 	}
 	for records := simwire.Open(batch); ; {
-		id, event, more, err := records.Next(base)
+		id, event, more, err := records.Next(dialect)
 		if err != nil {
 			return nil, err
 		}
@@ -87,10 +88,9 @@
 		switch e := event.(type) {
 		case nil:
 		case simwire.Up:
-			in.base = simwire.Base(batch.Clock)
-			in.core, in.events = dispatch.New(e.Deployment, int64(e.Seed)), in.events[:0]
+			in.up, in.dialect, in.events = &e, e.Dialect, in.events[:0]
 		case simwire.PowerOff:
-			in.core, in.events = nil, in.events[:0]
+			in.up, in.core, in.events = nil, nil, in.events[:0]
 		default:
 			in.events = append(in.events, e.(dispatch.Event))
 		}
@@ -101,16 +101,19 @@
 func (in *instance) run(id uint32, clock float64, reply *simwire.Reply) {
 	events := in.events
 	in.events = nil
-	if in.core == nil {
-		return
-	}
 	defer func() {
 		if cause := recover(); cause != nil {
-			in.core = nil
+			in.up, in.core = nil, nil
 			reply.Broken(id, fmt.Sprintf("the decisions panicked: %v", cause))
 		}
 	}()
-	for _, action := range in.core.Handle(in.base.Since(clock), events) {
-		reply.Action(id, in.base, action)
+	if in.up != nil {
+		in.core, in.up = dispatch.New(in.up.Deployment, int64(in.up.Seed)), nil
+	}
+	if in.core == nil {
+		return
+	}
+	for _, action := range in.core.Handle(in.dialect.Base.Since(clock), events) {
+		reply.Action(id, in.dialect.Base, action)
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -24,22 +24,22 @@
 )
 
 const (
-	epsilon     = 0.6                    // the running set's part of held weight
-	spreadTimes = 3                      // r of the effective size
-	cloneShare  = 0.2                    // clones stay under this part of invocations
-	beat        = 20 * time.Millisecond  // how often time alone may change a decision
-	sampleCount = 16                     // measurements are the last few samples
-	lagSamples  = 64                     // more of them, as others' traffic blurs each
-	figureCount = 8                      // reports of a worker that others' load there is worked out from
-	probeFloor  = 3                      // random workers probed each second, whatever the traffic
-	probePoints = 0.002                  // points of the result that probes above the floor may cost
-	asideFirst  = 500 * time.Millisecond // how long a worker is set aside at least; each next time doubles it
-	asideMost   = 8 * time.Second
-	asideProbes = 2                      // answered probes before a worker comes back
-	trialRuns   = 3                      // successes, one at a time, before it counts in full again
-	patience    = 300 * time.Millisecond // for a sign that is due
-	giveUpTimes = 0                      // deviations of running time that giving up allows for
-	coldMargin  = 0.8                    // of our part of a cold worker's budget, as hints are rough
+	epsilon      = 0.6                    // the running set's part of held weight
+	spreadTimes  = 3                      // r of the effective size
+	cloneShare   = 0.2                    // clones stay under this part of invocations
+	beat         = 20 * time.Millisecond  // how often time alone may change a decision
+	sampleCount  = 16                     // measurements are the last few samples
+	lagSamples   = 64                     // more of them, as others' traffic blurs each
+	figureCount  = 8                      // reports of a worker that others' load there is worked out from
+	probeFloor   = 3                      // random workers probed each second, whatever the traffic
+	probePoints  = 0.002                  // points of the result that probes above the floor may cost
+	asideFirst   = 500 * time.Millisecond // how long a worker is set aside at least; each next time doubles it
+	asideMost    = 8 * time.Second
+	refusedFirst = 50 * time.Millisecond  // the same for one tenant's operation that it turned away
+	asideProbes  = 2                      // answered probes before a worker comes back
+	trialRuns    = 3                      // successes, one at a time, before it counts in full again
+	patience     = 300 * time.Millisecond // for a sign that is due
+	coldMargin   = 0.8                    // of our part of a cold worker's budget, as hints are rough
 )
 
 // lags are the ages of a report among which the likeliest is learned.
@@ -47,12 +47,15 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// house is what all parts share: the moment, chance, what comes out, and the loop that empties inboxes.
+// house is what all parts share: the moment, chance, what comes out, the loop that empties inboxes, and the few
+// figures of the deployment that every worker's book needs.
 type house struct {
-	now    time.Duration
-	rng    *rand.Rand
-	out    []Action
-	unread []*inbox // with notes in them, oldest first
+	now, progress, warmAfter, window time.Duration
+	rng                              *rand.Rand
+	out                              []Action
+	unread                           []*inbox // with notes in them, oldest first
+	probes, tellsStart               bool
+	coldFrom                         float64
 }
 
 func (h *house) do(a Action) { h.out = append(h.out, a) }
@@ -103,11 +106,11 @@
 }
 
 func (s samples) deviation() float64 {
-	mean, squares := s.mean(), samples{}
+	squares := samples{}
 	for _, v := range s {
-		squares = append(squares, (v-mean)*(v-mean))
+		squares = append(squares, v*v)
 	}
-	return math.Sqrt(squares.mean())
+	return math.Sqrt(max(0, squares.mean()-s.mean()*s.mean()))
 }
 
 // middle is the median: one heavy invocation can't move it. 0 where nothing was measured.
@@ -127,24 +130,17 @@
 		event Event
 		ran   time.Duration
 	}
-	freed struct{ id InvID }     // desk to door: nothing more will be heard of it
-	sent  struct{ errand }       // desk to worker
-	stuck struct{ inv, fwd int } // worker to desk: no answer is to be expected soon
-	offer struct {               // worker to desk: how it stands
-		at int
-		card
-	}
-	misfit [len(lags)]float64 // worker to desk: how badly each lag explains a report
-	pooled struct {           // desk to worker: how old reports are, how often to probe
-		lag, every time.Duration
-	}
+	freed  struct{ id InvID }                 // desk to door: nothing more will be heard of it
+	sent   struct{ errand }                   // desk to worker
+	pooled struct{ lag, every time.Duration } // desk to worker, each beat: age of reports, how often to probe
+	stuck  struct{ inv, fwd int }             // worker to desk: no answer is to be expected soon
+	misfit [len(lags)]float64                 // worker to desk: how badly each lag explains a report
 )
 
 // Dispatcher is one scheduler's decisions and its door: ids become small indices here.
 type Dispatcher struct {
 	house
 	inbox
-	terms
 	desk     desk
 	roster   roster
 	workers  []*worker
@@ -154,26 +150,17 @@
 	beats    uint64
 }
 
-// terms are the few figures that every worker's book needs.
-type terms struct {
-	fields                                []Field
-	probes, tellsStart                    bool
-	coldFrom                              float64
-	progress, warmAfter, window, idleSpan time.Duration
-}
-
 // New starts an instance. The deployment is turned into the figures that decisions use and is not kept.
 func New(dep Deployment, seed int64) *Dispatcher {
 	d := &Dispatcher{workerAt: map[WorkerID]int{}, invAt: map[InvID]int{}}
-	d.rng = rand.New(rand.NewSource(seed))
-	d.terms = terms{fields: dep.Fields, probes: dep.Allowed.Probes, tellsStart: dep.TellsStart, progress: dep.Progress,
-		coldFrom: dep.Rules.ColdFrom, warmAfter: dep.Rules.WarmAfter, window: dep.Rules.Fall}
+	d.house = house{rng: rand.New(rand.NewSource(seed)), probes: dep.Allowed.Probes, tellsStart: dep.TellsStart,
+		progress: dep.Progress, coldFrom: dep.Rules.ColdFrom, warmAfter: dep.Rules.WarmAfter, window: dep.Rules.Fall}
 	d.inbox = inbox{house: &d.house, read: func(note any) { delete(d.invAt, note.(freed).id) }}
-	d.roster = roster{inbox: inbox{house: &d.house}, door: d, asks: !dep.Pushed, within: dep.Rules.AskWithin}
-	d.roster.inbox.read = d.roster.read
+	d.roster = roster{inbox: inbox{house: &d.house, read: d.roster.read}, door: d, asks: !dep.Pushed,
+		within: dep.Rules.AskWithin}
 	k := &d.desk
 	*k = desk{inbox: inbox{house: &d.house, read: k.read}, door: d, allowed: dep.Allowed, zone: dep.Zone,
-		refused: map[[3]int]refusal{}, each: probePoints / max(dep.ProbePrice, probePoints/4),
+		refused: map[[3]int][2]time.Duration{}, each: probePoints / max(dep.ProbePrice, probePoints/4),
 		part: coldMargin * dep.Rules.FallMultiple * dep.Rules.Fall.Seconds() / float64(max(1, dep.Peers))}
 	for _, o := range dep.Operations {
 		if o.BilledValue <= 0 {
@@ -193,12 +180,8 @@
 		d.settle()
 	}
 	if d.wakeAt <= now {
-		d.beats++
-		d.wakeAt = now + beat
+		d.beats, d.wakeAt = d.beats+1, now+beat
 		d.do(Wake{At: d.wakeAt, Token: d.beats})
-		for _, w := range d.workers {
-			w.put(tick{})
-		}
 		d.roster.put(tick{})
 		d.desk.put(tick{})
 		d.settle()
@@ -208,54 +191,42 @@
 	return d.out
 }
 
-// enter finds whom an event is for. What is about an invocation or a worker that is not known is passed over.
+// enter finds whom an event is for. What is about an invocation that is not held any more is passed over.
 func (d *Dispatcher) enter(event Event) {
-	if list, is := event.(Listing); is {
-		d.roster.put(list)
-		return
-	}
 	id, worker := event.About()
-	inv, held := d.invAt[id]
 	at, known := d.workerAt[worker]
-	switch e := event.(type) {
-	case Arrival:
-		if held {
-			return
-		}
-		if e.Operation >= len(d.desk.ops) {
-			d.do(Errored{id})
-			return
-		}
+	inv, held := d.invAt[id]
+	if _, is := event.(Arrival); is && !held {
 		inv, held = d.desk.slot(), true
 		d.invAt[id] = inv
-	case Answer:
-		held = true
 	}
-	if held && known {
-		d.workers[at].put(about{inv: inv, event: event})
-	} else if held && !worker.IsValid() {
-		d.desk.put(about{inv: inv, event: event})
+	switch n := (about{inv: inv, event: event}); {
+	case id > 0 && !held:
+	case known:
+		d.workers[at].put(n)
+	case held:
+		d.desk.put(n)
+	default:
+		d.roster.put(event)
 	}
 }
 
 // roster follows the list of workers.
 type roster struct {
 	inbox
-	door    *Dispatcher
-	asks    bool
-	follows bool
-	within  time.Duration
-	askAt   time.Duration // when to ask again if nothing has come by then
-	failed  int
+	door          *Dispatcher
+	asks, follows bool
+	within, askAt time.Duration // askAt: when to ask again if nothing has come by then
+	failed        int
 }
 
 func (r *roster) read(note any) {
 	n, is := note.(Listing)
+	if _, beats := note.(tick); beats && r.asks && !r.follows && r.now >= r.askAt {
+		r.do(Follow{})
+		r.askAt = r.now + max(time.Second, r.within/2)
+	}
 	if !is {
-		if r.asks && !r.follows && r.now >= r.askAt {
-			r.do(Follow{})
-			r.askAt = r.now + max(time.Second, r.within/2)
-		}
 		return
 	}
 	if n.Form == ListFailed {
@@ -279,7 +250,7 @@
 		at, known := r.door.workerAt[e.Worker]
 		if !known {
 			at = len(r.door.workers)
-			w := &worker{inbox: inbox{house: r.house}, terms: &r.door.terms, desk: &r.door.desk.inbox, id: e.Worker, at: at}
+			w := &worker{inbox: inbox{house: r.house}, desk: &r.door.desk.inbox, id: e.Worker, card: card{at: at}}
 			w.inbox.read = w.read
 			r.door.workers, r.door.workerAt[e.Worker] = append(r.door.workers, w), at
 		}
@@ -309,38 +280,33 @@
 	others need
 }
 
-// card is what a worker tells of itself.
+// card is what a worker tells the desk of itself.
 type card struct {
-	open, trial, known bool
-	zone, kind, cell   int
-	room               need
-	mine, size         float64
-	pace, speed        float64 // running time a unit of hinted work; work a unit of time, if hints are right in the mean
-	warmth, spent      float64
+	at, zone, kind, cell       int
+	open, trial, known, tested bool    // tested: pace and speed are its own, and those of a warm worker
+	room, size                 need    // size: the most seen free
+	mine, pace, speed          float64 // pace: running time a unit of hinted work; speed: if hints are right in the mean
+	warmth, spent              float64 // of a cold worker: the part of its capacity, and our work sent of late
 }
 
 // worker is the actor that keeps one worker's book.
 type worker struct {
 	inbox
-	*terms
-	desk                *inbox
-	id                  WorkerID
-	at                  int
-	listed              Entry
-	cold, aside         bool
-	startedAt           time.Duration
-	errands             []errand
-	figures             []figure
-	load                []float64     // the last report as it came
-	lag, every          time.Duration // how old a report is when it comes; how often to probe
-	size                need          // the most seen free
-	fit                 misfit
-	paces, speeds, runs samples
-	lastSign, probeAt   time.Duration
-	asideTill           time.Duration
-	asides              int // how often of late
-	answers, missed     int // probes in a row with and without an answer
-	trial               int // successes still wanted
+	card
+	desk                 *inbox
+	id                   WorkerID
+	standing             Standing
+	cold, aside          bool
+	startedAt, asideTill time.Duration
+	lastSign, probeAt    time.Duration
+	lag, every           time.Duration // how old a report is when it comes; how often to probe
+	errands              []errand
+	figures              []figure
+	load                 Load // the last report as it came
+	fit                  misfit
+	paces, speeds, runs  samples
+	asides, wanted       int // how often it was set aside of late; successes still wanted on trial
+	answers, missed      int // probes in a row with and without an answer
 }
 
 func (w *worker) read(note any) {
@@ -351,7 +317,6 @@
 		w.errands = append(w.errands, n.errand)
 	case pooled:
 		w.lag, w.every = n.lag, n.every
-	case tick:
 		w.watch()
 	case about:
 		switch e := n.event.(type) {
@@ -381,45 +346,45 @@
 
 // tell lets the desk know how the worker stands.
 func (w *worker) tell() {
-	c := card{open: w.listed.Standing == Ready && !w.aside, trial: w.trial > 0, known: len(w.figures) > 0, warmth: 1,
-		zone: w.listed.Zone, kind: w.listed.Kind, cell: w.listed.Cell, size: w.size.slots, pace: w.paces.middle(),
-		speed: w.speeds.mean()}
 	mine := w.held(w.now)
-	c.mine = mine.slots
+	w.open, w.trial, w.known = w.standing == Ready && !w.aside, w.wanted > 0, len(w.figures) > 0
+	w.mine, w.pace, w.speed, w.warmth, w.spent = mine.slots, w.paces.middle(), w.speeds.mean(), 1, 0
 	if n := len(w.figures); n > 0 {
 		// What others hold drifts back to its usual level while a figure ages, and a crowd chases the worker that
 		// looked emptiest: the older the last figure, the more the mean of the last few counts.
 		fresh := math.Exp(-max(0, w.now-w.figures[n-1].at).Seconds() / max(w.runs.mean(), 0.1))
-		c.room = w.size.plus(-1, mine).plus(-fresh, w.figures[n-1].others)
+		w.room = w.size.plus(-1, mine).plus(-fresh, w.figures[n-1].others)
 		for _, f := range w.figures {
-			c.room = c.room.plus((fresh-1)/float64(n), f.others)
+			w.room = w.room.plus((fresh-1)/float64(n), f.others)
 		}
+		w.room.slots = math.Round(w.room.slots)
 	}
-	if !slices.Contains(w.fields, FieldFreeMemory) {
-		c.room.memory = math.Inf(1)
+	if w.load.FreeMemory < 0 {
+		w.room.memory = math.Inf(1)
 	}
 	if age := w.now - w.startedAt; w.cold && age < w.warmAfter {
-		c.warmth = w.coldFrom + (1-w.coldFrom)*max(0, age.Seconds()/w.warmAfter.Seconds())
+		w.warmth = w.coldFrom + (1-w.coldFrom)*max(0, age.Seconds()/w.warmAfter.Seconds())
 		for _, e := range w.errands {
 			if e.sent+w.window > w.now {
-				c.spent += e.work
+				w.spent += e.work
 			}
 		}
 	}
-	w.desk.put(offer{w.at, c})
+	w.desk.put(w.card)
 }
 
 func (w *worker) follow(e Entry) {
+	w.standing = e.Standing
 	if e.Standing == Gone {
-		e.Zone, e.Kind, e.Cell = w.listed.Zone, w.listed.Kind, w.listed.Cell
 		w.release()
-	} else if e.Restarted && (!w.cold || e.StartedAt > w.startedAt) {
-		w.cold, w.startedAt, w.figures, w.load = true, e.StartedAt, nil, nil
-		w.paces, w.speeds = nil, nil
-		w.aside, w.trial, w.missed = false, 0, 0
+		return
+	}
+	if e.Restarted && (!w.cold || e.StartedAt > w.startedAt) {
+		w.cold, w.startedAt, w.figures, w.load, w.paces, w.speeds = true, e.StartedAt, nil, Load{}, nil, nil
+		w.aside, w.wanted, w.missed = false, 0, 0
 		w.release()
 	}
-	w.listed = e
+	w.zone, w.kind, w.cell = e.Zone, e.Kind, e.Cell
 }
 
 func (w *worker) find(inv, fwd int) *errand {
@@ -445,7 +410,7 @@
 		w.missed, w.answers = 0, w.answers+1
 		w.report(a.Load)
 		w.comeBack(w.answers >= asideProbes)
-	case Full: // its probes are capped, which tells nothing of it
+	case Full: // probes are capped, which tells nothing
 	default:
 		w.answers, w.missed = 0, w.missed+1
 		if w.missed > 1 || w.lastSign < w.now-a.Took {
@@ -455,32 +420,21 @@
 }
 
 // report takes a load report in. One that equals the last to the letter is the same figure seen again.
-func (w *worker) report(load []float64) {
-	if len(load) < len(w.fields) || slices.Equal(load, w.load) || !slices.Contains(w.fields, FieldFreeSlots) {
+func (w *worker) report(load *Load) {
+	if load == nil || *load == w.load || load.FreeSlots < 0 {
 		return
 	}
-	var free, waiting need
-	for i, field := range w.fields {
-		switch field {
-		case FieldFreeSlots:
-			free.slots = math.Round(load[i])
-		case FieldFreeMemory:
-			free.memory = load[i]
-		case FieldWaiting:
-			waiting.slots = math.Round(load[i])
-		}
-	}
+	free := need{math.Round(load.FreeSlots) - math.Round(max(0, load.Waiting)), load.FreeMemory}
 	w.size = need{max(w.size.slots, free.slots), max(w.size.memory, free.memory)}
-	free = free.plus(-1, waiting)
 	var fit, differ misfit
 	for i, lag := range lags {
 		fit[i] = free.plus(1, w.held(w.now-lag)).slots
 		differ[i] = (fit[i] - w.fit[i]) * (fit[i] - w.fit[i])
 	}
-	if w.load != nil {
+	if w.known {
 		w.desk.put(differ)
 	}
-	w.fit, w.load = fit, slices.Clone(load)
+	w.fit, w.load = fit, *load
 	w.figure(w.now-w.lag, free)
 	oldest := w.now - max(lags[len(lags)-1], w.window)
 	w.errands = slices.DeleteFunc(w.errands, func(e errand) bool { return e.end != 0 && e.end < oldest })
@@ -495,9 +449,7 @@
 
 // finish books the end of a forward and hands it on.
 func (w *worker) finish(n about, o Outcome) {
-	if o.Load != nil {
-		w.report(o.Load)
-	}
+	w.report(o.Load)
 	if e := w.find(n.inv, o.Forward); e != nil {
 		e.end = w.now
 		w.lastSign = w.now
@@ -512,7 +464,7 @@
 				w.speeds.add(e.work/max(1e-3, n.ran.Seconds()), sampleCount)
 			}
 			w.comeBack(true)
-			if w.trial = max(0, w.trial-1); w.trial == 0 {
+			if w.wanted = max(0, w.wanted-1); w.wanted == 0 {
 				w.asides = max(0, w.asides-1)
 			}
 		case Failed, Broken:
@@ -536,13 +488,13 @@
 // comeBack ends a set-aside, once what it takes was seen: answered probes or a sign of our own work.
 func (w *worker) comeBack(seen bool) {
 	if w.aside && seen && w.now >= w.asideTill {
-		w.aside, w.trial = false, trialRuns*max(1, w.asides)
+		w.aside, w.wanted = false, trialRuns*max(1, w.asides)
 		w.log("worker %v is back, on trial", w.id)
 	}
 }
 
 func (w *worker) setAside(why string, silent bool) {
-	if !w.aside && w.listed.Standing == Ready {
+	if !w.aside && w.standing == Ready {
 		w.asideTill = w.now + min(asideFirst<<w.asides, asideMost)
 		w.aside, w.answers, w.asides = true, 0, min(w.asides+1, 5)
 		w.log("worker %v is set aside: %s", w.id, why)
@@ -555,7 +507,7 @@
 // watch probes now and then and looks for signs that are overdue. A hung worker shows the most free slots and would
 // draw all work; one whose figures show no room may just be working through what waits, so it gets longer.
 func (w *worker) watch() {
-	if w.now >= w.probeAt && w.probes && w.listed.Standing == Ready {
+	if w.now >= w.probeAt && w.probes && w.standing == Ready {
 		w.probeAt = w.now + w.every/2 + time.Duration(w.rng.Int63n(int64(w.every+1)))
 		if w.aside {
 			w.probeAt = w.now + asideFirst/2
@@ -563,7 +515,7 @@
 		w.do(Probe{w.id})
 	}
 	wait := patience + w.lag
-	if n := len(w.figures); n > 0 && w.size.plus(-1, w.figures[n-1].others).plus(-1, w.held(w.now)).slots < 0 {
+	if w.known && w.room.slots < 0 {
 		wait += seconds(3 * w.runs.mean())
 	}
 	for _, e := range w.errands {
@@ -604,19 +556,13 @@
 
 // inv is an invocation.
 type inv struct {
-	id             InvID
-	op, tenant     int
-	first, givenUp time.Duration // its first try came, its client timeout
 	need
-	hint, work, weight, rank float64
-	held, done               bool
-	tries                    []tried
-}
-
-// refusal is how long a worker is passed over for one tenant's operation.
-type refusal struct {
-	till  time.Duration
-	times int
+	id                 InvID
+	op, tenant         int
+	first, givenUp     time.Duration // its first try came, its client timeout
+	work, weight, rank float64
+	held, done         bool
+	tries              []tried
 }
 
 // desk holds invocations and decides on them.
@@ -625,18 +571,15 @@
 	door         *Dispatcher
 	zone         int
 	allowed      Allowances
-	part         float64 // our part of a cold worker's budget, in seconds of its capacity
-	each         float64 // probes that an invocation pays for
+	part, each   float64 // of a cold worker's budget, in seconds of its capacity, ours; probes an invocation pays for
 	ops          []operation
 	invs         []inv
-	spare        []int
-	held         []int // by rank, highest first
+	held, spare  []int // held: by rank, highest first
 	board        []card
-	usual        []card // pace and speed by kind
 	jobs, clones float64
 	arrivals     samples
 	misfits      [len(lags)]samples
-	refused      map[[3]int]refusal // by worker, operation, tenant
+	refused      map[[3]int][2]time.Duration // by worker, operation, tenant: passed over till when, for how long
 }
 
 // slot finds a place for a new invocation.
@@ -651,11 +594,15 @@
 
 func (k *desk) read(note any) {
 	switch n := note.(type) {
-	case offer:
-		for len(k.board) <= n.at {
-			k.board = append(k.board, card{})
+	case card:
+		if n.at == len(k.board) {
+			k.board = append(k.board, n)
+		}
+		if n.tested = n.pace > 0 && n.warmth == 1; n.pace == 0 {
+			n.pace, n.speed = k.usualOf(n.kind)
 		}
-		k.board[n.at] = n.card
+		n.pace, n.speed = n.pace/n.warmth, n.speed*n.warmth
+		k.board[n.at] = n
 	case misfit:
 		for i, v := range n {
 			k.misfits[i].add(v, lagSamples)
@@ -683,31 +630,26 @@
 	}
 }
 
-// learn works out what the last samples tell of the pool: each kind's usual pace, the age of reports (the lag at
-// which free slots plus our own vary least from one report to the next), and how often probes pay.
-func (k *desk) learn() {
-	lag, paces, speeds := 0, [][]float64{{}}, [][]float64{{}}
+// usualOf is the usual pace and speed of a kind, for a worker that has done nothing yet.
+func (k *desk) usualOf(kind int) (pace, speed float64) {
+	var paces, speeds samples
 	for _, c := range k.board {
-		for len(paces) < c.kind+2 {
-			paces, speeds = append(paces, nil), append(speeds, nil)
-		}
-		for _, kind := range []int{0, c.kind + 1} { // 0 gathers all kinds
-			if c.pace > 0 && c.warmth == 1 {
-				paces[kind], speeds[kind] = append(paces[kind], c.pace), append(speeds[kind], c.speed)
-			}
+		if c.tested && c.kind == kind {
+			paces, speeds = append(paces, c.pace), append(speeds, c.speed)
 		}
 	}
-	k.usual = k.usual[:0]
-	for i := range paces {
-		k.usual = append(k.usual, card{pace: cmp.Or(samples(paces[i]).middle(), samples(paces[0]).middle(), 1),
-			speed: cmp.Or(samples(speeds[i]).middle(), samples(speeds[0]).middle(), 1)})
-	}
+	return cmp.Or(paces.middle(), 1), cmp.Or(speeds.middle(), 1)
+}
+
+// learn works out what the last samples tell of the pool: the age of reports, which is the lag at which free slots
+// plus our own vary least from one report to the next, and how often probes pay.
+func (k *desk) learn() {
+	lag, rate := 0, float64(probeFloor)
 	for i, s := range k.misfits {
 		if len(s) >= sampleCount && s.mean() < k.misfits[lag].mean() {
 			lag = i
 		}
 	}
-	rate := float64(probeFloor)
 	if n := len(k.arrivals); n > 1 {
 		rate += k.each * float64(n) / max(0.1, k.now.Seconds()-k.arrivals[0])
 	}
@@ -718,8 +660,8 @@
 
 // take puts a new invocation into the hold.
 func (k *desk) take(i int, a Arrival) {
-	o, j := &k.ops[a.Operation], &k.invs[i]
-	*j = inv{id: a.Inv, op: a.Operation, tenant: a.Tenant, givenUp: k.now + a.Budget, hint: a.Hint, work: a.Hint,
+	o, j := &k.ops[min(a.Operation, len(k.ops)-1)], &k.invs[i]
+	*j = inv{id: a.Inv, op: a.Operation, tenant: a.Tenant, givenUp: k.now + a.Budget, work: a.Hint,
 		need: need{max(1, a.Slots), a.Memory}, weight: o.weight, tries: j.tries[:0]}
 	if j.work <= 0 {
 		j.work = o.sizes.mean()
@@ -739,51 +681,44 @@
 	if j.work > 0 {
 		j.rank = j.weight / (j.work * (1 + spreadTimes*k.ops[j.op].ratios.deviation()))
 	}
-	at := 0
-	for at < len(k.held) && k.invs[k.held[at]].rank >= j.rank {
-		at++
+	at := slices.IndexFunc(k.held, func(other int) bool { return k.invs[other].rank < j.rank })
+	if at < 0 {
+		at = len(k.held)
 	}
 	k.held = slices.Insert(k.held, at, i)
 }
 
 func (k *desk) unhold(i int) {
-	if k.invs[i].held {
-		k.invs[i].held = false
-		k.held = slices.DeleteFunc(k.held, func(other int) bool { return other == i })
-	}
+	k.invs[i].held = false
+	k.held = slices.DeleteFunc(k.held, func(other int) bool { return other == i })
 }
 
-// live counts the forwards that are out, and those of them from which an answer is to be expected.
-func (j *inv) live() (out, hoped int) {
-	for _, t := range j.tries {
+// live counts the forwards that are out, and those of them from which an answer is to be expected. first is the first
+// that may have run: it fixes group and window of what is deduplicated.
+func (j *inv) live() (out, hoped int, first *tried) {
+	for f := range j.tries {
+		t := &j.tries[f]
 		if t.out {
 			out++
 			if !t.stuck {
 				hoped++
 			}
 		}
-	}
-	return out, hoped
-}
-
-// bound is the first forward that may have run: it fixes group and window of what is deduplicated.
-func (j *inv) bound() *tried {
-	for i := range j.tries {
-		if t := &j.tries[i]; t.out || t.ran {
-			return t
+		if first == nil && (t.out || t.ran) {
+			first = t
 		}
 	}
-	return nil
+	return out, hoped, first
 }
 
 // again holds an invocation once more if it may be sent again and nothing good is out.
 func (k *desk) again(i int) {
 	j := &k.invs[i]
-	out, hoped := j.live()
+	out, hoped, _ := j.live()
 	if j.done || j.held || hoped > 0 {
 		return
 	}
-	if k.may(j, out) && !k.hopeless(j) {
+	if k.may(j) && !k.hopeless(j) {
 		k.hold(i)
 	} else if out == 0 {
 		k.giveUp(i)
@@ -791,42 +726,40 @@
 }
 
 // may tells whether the effect class and the limits allow one more forward.
-func (k *desk) may(j *inv, out int) bool {
-	o, b := &k.ops[j.op], j.bound()
+func (k *desk) may(j *inv) bool {
+	o := &k.ops[j.op]
+	out, _, first := j.live()
 	if len(j.tries) >= max(1, k.allowed.MaxForwards) || out > 1 || out > 0 && !k.allowed.SecondCopies {
 		return false
 	}
-	return b == nil || o.effect == Idempotent || o.effect == Deduplicated && k.now < b.sent+o.window
+	return first == nil || o.effect == Idempotent || o.effect == Deduplicated && k.now < first.sent+o.window
 }
 
 // slack is how long an invocation may wait, from its first try, before a worker of such a pace and speed can't end it
 // within its latency objective any more. The objective grows with its own work, so on a fast worker with its size.
-func (k *desk) slack(j *inv, times, pace, speed float64) time.Duration {
+func (k *desk) slack(j *inv, pace, speed float64) time.Duration {
 	o := &k.ops[j.op]
-	return o.objective + seconds(j.work*times*pace*(o.stretch*speed-1))
+	return o.objective + seconds(j.work*pace*(o.stretch*speed-1))
 }
 
-// hopeless tells whether an invocation has waited too long for any kind of worker, even if it is as heavy as its
-// effective size. Before the latency objective itself has passed nothing is hopeless: paces may be wrong.
+// hopeless tells whether an invocation has waited too long for any worker. Before the latency objective itself has
+// passed nothing is hopeless, as paces may be wrong.
 func (k *desk) hopeless(j *inv) bool {
 	o := &k.ops[j.op]
-	if o.late || k.now-j.first <= o.objective {
-		return k.now+2*beat >= j.givenUp
-	}
-	for kind, u := range k.usual[min(1, len(k.usual)):] {
-		heavy := 1 + giveUpTimes*o.ratios.deviation()
-		if (o.kind < 0 || o.kind == kind) && k.now-j.first <= k.slack(j, heavy, u.pace, u.speed) {
-			return k.now+2*beat >= j.givenUp
+	most := o.objective
+	for i := range k.board {
+		if c := &k.board[i]; c.open && (o.kind < 0 || o.kind == c.kind) {
+			most = max(most, k.slack(j, c.pace, c.speed))
 		}
 	}
-	return true
+	return k.now+2*beat >= j.givenUp || !o.late && k.now-j.first > most
 }
 
 // giveUp ends an invocation with nothing out.
 func (k *desk) giveUp(i int) {
 	j := &k.invs[i]
 	o := &k.ops[j.op]
-	if j.bound() == nil || o.effect == Idempotent || o.effect == Deduplicated && o.scope == ScopeAll {
+	if _, _, first := j.live(); first == nil || o.effect == Idempotent || o.effect == Deduplicated && o.scope == ScopeAll {
 		after := time.Duration(0)
 		if k.allowed.RetryAfter {
 			after = min(k.allowed.MaxRetryAfter, time.Second)
@@ -848,7 +781,7 @@
 		}
 	}
 	j.done = true
-	if out, _ := j.live(); out == 0 {
+	if out, _, _ := j.live(); out == 0 {
 		k.door.put(freed{j.id})
 		k.spare = append(k.spare, i)
 	}
@@ -866,22 +799,19 @@
 	case Succeeded:
 		delete(k.refused, key)
 		o.sizes.add(n.ran.Seconds(), sampleCount)
-		if j.hint > 0 {
-			o.ratios.add(n.ran.Seconds()/j.hint, sampleCount)
-		}
+		o.ratios.add(n.ran.Seconds()/max(1e-3, j.work), sampleCount)
 	case Full:
 		// One that turns a tenant away while its probes show room would draw that tenant's top invocation for ever.
-		r := k.refused[key]
-		k.refused[key] = refusal{k.now + min(50*time.Millisecond<<min(r.times, 8), 4*time.Second), r.times + 1}
+		span := min(max(2*k.refused[key][1], refusedFirst), asideMost)
+		k.refused[key] = [2]time.Duration{k.now + span, span}
 	}
-	switch out, _ := j.live(); {
+	switch out, _, _ := j.live(); {
 	case j.done || e.Closed || e.Result == Succeeded:
 		k.land(n.inv, -1)
 	case k.now < j.givenUp && e.Result != NotSent:
 		k.again(n.inv)
 	case out == 0 && !j.held:
-		k.do(Errored{j.id})
-		k.land(n.inv, -1)
+		k.giveUp(n.inv)
 	}
 }
 
@@ -890,7 +820,7 @@
 	total, above := 0.0, 0.0
 	for _, i := range slices.Clone(k.held) {
 		j := &k.invs[i]
-		if out, _ := j.live(); !k.hopeless(j) {
+		if out, _, _ := j.live(); !k.hopeless(j) {
 			total += j.weight
 		} else if out == 0 {
 			k.giveUp(i)
@@ -913,7 +843,7 @@
 	slices.SortStableFunc(running, func(a, b int) int { return cmp.Compare(k.invs[b].weight, k.invs[a].weight) })
 	for _, i := range running {
 		at, roomy := k.pick(&k.invs[i])
-		if len(k.held) > 0 || !roomy || k.clones+1 >= cloneShare*k.jobs || !k.may(&k.invs[i], 1) {
+		if len(k.held) > 0 || !roomy || k.clones+1 >= cloneShare*k.jobs || !k.may(&k.invs[i]) {
 			return
 		}
 		if at >= 0 {
@@ -948,75 +878,54 @@
 			}
 		}
 	}
-	best = -1
-	var bestRoom, bestPace float64
-	bestTimely, timely := false, false
+	best, timely := -1, false
+	var bestRoom float64
 	from := k.rng.Intn(max(1, len(k.board)))
 	for n := range k.board {
 		at := (from + n) % len(k.board)
 		c := &k.board[at]
-		has := c.room.slots
-		if !c.known {
-			has = room / max(1, known) // new to the pool: it counts at the mean
+		if !k.fits(j, at, c) {
+			continue
 		}
-		if known == 0 {
-			// No figure of free slots anywhere: the workers where we have least, up to the mean.
-			if has = 1e3 - c.mine; c.mine > mine/max(1, pooled) {
-				continue
-			}
+		has := c.room.slots
+		if known == 0 { // no figure of free slots anywhere: the workers where we have least, up to the mean
+			has = j.slots + math.Floor(mine/pooled-c.mine)
+		} else if !c.known { // new to the pool: it counts at the mean
+			has = math.Round(room / known)
 		}
 		if c.trial {
 			has = min(has, 1-c.mine)
 		}
-		if !k.fits(j, at, c) {
-			continue
+		inTime := k.ops[j.op].late || k.now-j.first <= k.slack(j, c.pace, c.speed)
+		if inTime && !timely {
+			best, timely = -1, true // better held for one that can do it in time than sent to one that can't
 		}
-		pace, speed := k.paceOf(c)
-		inTime := k.ops[j.op].late || k.now-j.first <= k.slack(j, 1, pace, speed)
-		timely = timely || inTime
-		if has = math.Round(has); has < j.slots {
+		if has < j.slots || timely && !inTime {
 			continue
 		}
 		if c.zone == k.zone {
 			has += 0.5 // among equals the own zone, then the faster one
 		}
-		if best < 0 || inTime && !bestTimely ||
-			inTime == bestTimely && (has > bestRoom || has == bestRoom && pace < bestPace) {
-			best, bestRoom, bestPace, bestTimely = at, has, pace, inTime
+		if best < 0 || has > bestRoom || has == bestRoom && c.pace < k.board[best].pace {
+			best, bestRoom = at, has
 		}
 	}
-	if timely && !bestTimely {
-		best = -1 // better held for one that can do it in time
-	}
 	return best, 2*roomCount > pooled
 }
 
-// paceOf is a worker's running time for a unit of hinted work, and its speed, as they are now.
-func (k *desk) paceOf(c *card) (pace, speed float64) {
-	pace, speed = c.pace, c.speed
-	if pace == 0 {
-		pace, speed = 1, 1
-		if c.kind+1 < len(k.usual) {
-			pace, speed = k.usual[c.kind+1].pace, k.usual[c.kind+1].speed
-		}
-	}
-	return pace / c.warmth, speed * c.warmth
-}
-
 // fits tells whether a worker may get an invocation at all.
 func (k *desk) fits(j *inv, at int, c *card) bool {
-	o, b := &k.ops[j.op], j.bound()
+	o := &k.ops[j.op]
 	if !c.open || o.kind >= 0 && o.kind != c.kind || c.known && c.room.memory < j.memory ||
-		c.trial && o.effect == NonIdempotent || k.refused[[3]int{at, j.op, j.tenant}].till > k.now ||
+		c.trial && o.effect == NonIdempotent || k.refused[[3]int{at, j.op, j.tenant}][0] > k.now ||
 		slices.ContainsFunc(j.tries, func(t tried) bool { return t.at == at && (t.out || t.ran) }) {
 		return false
 	}
-	if b != nil && o.effect == Deduplicated {
-		first := &k.board[b.at]
-		if o.scope == ScopeZone && first.zone != c.zone || o.scope == ScopeCell && first.cell != c.cell {
+	if _, _, first := j.live(); first != nil && o.effect == Deduplicated {
+		group := &k.board[first.at]
+		if o.scope == ScopeZone && group.zone != c.zone || o.scope == ScopeCell && group.cell != c.cell {
 			return false
 		}
 	}
-	pace, _ := k.paceOf(c)
-	return c.warmth == 1 || c.spent+j.work <= k.part*max(1, c.size)/pace
+	return c.warmth == 1 || c.spent+j.work <= k.part*max(1, c.size.slots)/c.pace
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -31,16 +31,13 @@
 	ScopeCell
 )
 
-// Field names one value of a load report.
-type Field uint8
+// Load is a worker's report on itself. A value below 0 is not reported.
+type Load struct {
+	FreeSlots, FreeMemory, Waiting, InHand, Busy, ServiceTime, Rate, Errors float64
+}
 
-const (
-	FieldOther Field = iota
-	FieldFreeSlots
-	FieldFreeMemory
-	FieldWaiting
-	FieldErrors
-)
+// NoLoad is a report without any value.
+var NoLoad = Load{-1, -1, -1, -1, -1, -1, -1, -1}
 
 // Deployment is what an instance is told once, at its start.
 type Deployment struct {
@@ -50,7 +47,6 @@
 	Tenants     []Tenant
 	ExcessValue float64 // billed value of what a tenant sends beyond its share, as a part of the usual
 	Pushed      bool    // list changes come unasked
-	Fields      []Field // values of a load report, in order; empty: there are none
 	TellsStart  bool
 	Progress    time.Duration // span between progress notes; 0: none are sent
 	Allowed     Allowances
@@ -152,7 +148,7 @@
 	Forward int
 	Result  Result
 	Closed  bool
-	Load    []float64
+	Load    *Load // nil: none came with it
 }
 
 // Withdrawn says that the client has left.
@@ -163,7 +159,7 @@
 	Worker WorkerID
 	Result Result
 	Took   time.Duration
-	Load   []float64
+	Load   *Load
 }
 
 // Due is a wake-up that was asked for.
--- a/internal/simwire/words.go
+++ b/internal/simwire/words.go
@@ -1,6 +1,7 @@
 package simwire
 
 import (
+	"cmp"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -25,6 +26,14 @@
 type Up struct {
 	Seed       uint64
 	Deployment dispatch.Deployment
+	Dialect    Dialect
+}
+
+// Dialect is how records of one instance are to be read: from which reading of the clock its time counts, and
+// what the values of a load report mean.
+type Dialect struct {
+	Base   Base
+	Report []string
 }
 
 // PowerOff ends an instance at once, with all that it held.
@@ -47,16 +56,17 @@
 
 // Reader walks over the records of one batch.
 type Reader struct {
-	cur  cursor
-	left int
+	cur   cursor
+	left  int
+	clock Base
 }
 
 // Open begins reading a batch.
-func Open(b Batch) *Reader { return &Reader{cur: cursor{rest: b.Body}, left: b.Records} }
+func Open(b Batch) *Reader { return &Reader{cursor{rest: b.Body}, b.Records, Base(b.Clock)} }
 
-// Next gives the scheduler and the event of the next record, and false at the end of the batch. base tells
-// the start of a scheduler. A record without meaning for the decisions comes as nil.
-func (r *Reader) Next(base func(scheduler uint32) Base) (uint32, any, bool, error) {
+// Next gives the scheduler and the event of the next record, and false at the end of the batch. A record without
+// meaning for the decisions comes as nil.
+func (r *Reader) Next(dialect func(scheduler uint32) Dialect) (uint32, any, bool, error) {
 	if r.left == 0 {
 		if n := len(r.cur.rest); n > 0 {
 			return 0, nil, false, fmt.Errorf("%d bytes are left over after the last record", n)
@@ -65,7 +75,7 @@
 	}
 	r.left--
 	code, scheduler := r.cur.u8(), r.cur.u32()
-	event, err := r.event(code, func(clock float64) time.Duration { return base(scheduler).Since(clock) })
+	event, err := r.event(code, dialect(scheduler))
 	if r.cur.err != nil {
 		err = r.cur.err
 	}
@@ -75,7 +85,7 @@
 	return scheduler, event, true, nil
 }
 
-func (r *Reader) event(code uint8, at func(float64) time.Duration) (any, error) {
+func (r *Reader) event(code uint8, d Dialect) (any, error) {
 	c := &r.cur
 	switch code {
 	case evUp:
@@ -84,11 +94,11 @@
 		if c.err != nil {
 			return nil, c.err
 		}
-		deployment, err := ParseInfo(text)
-		return Up{Seed: seed, Deployment: deployment}, err
+		deployment, report, err := ParseInfo(text)
+		return Up{seed, deployment, Dialect{r.clock, report}}, err
 	case evDirectory:
 		c.u64()
-		return r.listing(at)
+		return r.listing(d.Base)
 	case evInbound:
 		a := dispatch.Arrival{Inv: dispatch.InvID(c.u64()), Operation: int(c.u16()), Tenant: int(c.u16())}
 		c.u64()
@@ -116,7 +126,7 @@
 		c.u8()
 		o.Closed = c.u8() != 0
 		o.Worker = c.worker()
-		o.Load = c.load()
+		o.Load = c.load(d.Report)
 		var err error
 		o.Result, err = c.result(status)
 		return o, err
@@ -127,7 +137,7 @@
 	case evHealth:
 		a := dispatch.Answer{Worker: c.worker()}
 		status := c.u16()
-		a.Took, a.Load = span(c.f64()), c.load()
+		a.Took, a.Load = span(c.f64()), c.load(d.Report)
 		var err error
 		a.Result, err = c.result(status)
 		return a, err
@@ -152,7 +162,7 @@
 
 var standings = map[uint8]dispatch.Standing{0: dispatch.Gone, 1: dispatch.Ready, 2: dispatch.Draining}
 
-func (r *Reader) listing(at func(float64) time.Duration) (any, error) {
+func (r *Reader) listing(base Base) (any, error) {
 	c := &r.cur
 	form, known := forms[c.u8()]
 	if !known && c.err == nil {
@@ -170,7 +180,7 @@
 		}
 		c.f32()
 		if readyAt := c.f64(); readyAt != 0 {
-			e.Restarted, e.StartedAt = true, at(readyAt)
+			e.Restarted, e.StartedAt = true, base.Since(readyAt)
 		}
 		list.Entries = append(list.Entries, e)
 	}
@@ -190,16 +200,42 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.LittleEndian.Uint16(b[4:]))
 }
 
-func (c *cursor) load() []float64 {
+func (c *cursor) load(names []string) *dispatch.Load {
 	n := int(c.u8())
 	if n == 0 {
 		return nil
 	}
-	values := make([]float64, n)
-	for i := range values {
-		values[i] = c.f32()
+	load, unknown := dispatch.NoLoad, 0.0
+	for i := range n {
+		field := &unknown
+		if i < len(names) {
+			field = loadField(&load, names[i], &unknown)
+		}
+		*field = c.f32()
+	}
+	return &load
+}
+
+func loadField(load *dispatch.Load, name string, unknown *float64) *float64 {
+	switch name {
+	case "free slots":
+		return &load.FreeSlots
+	case "free memory":
+		return &load.FreeMemory
+	case "waiting":
+		return &load.Waiting
+	case "active":
+		return &load.InHand
+	case "cpu":
+		return &load.Busy
+	case "avg_ms":
+		return &load.ServiceTime
+	case "rps":
+		return &load.Rate
+	case "err_rps":
+		return &load.Errors
 	}
-	return values
+	return unknown
 }
 
 // Action packs one action of a scheduler.
@@ -295,13 +331,14 @@
 	"": dispatch.ScopeAll, "all": dispatch.ScopeAll, "zone": dispatch.ScopeZone, "cell": dispatch.ScopeCell,
 }
 
-// ParseInfo reads the settings text. Keys without a meaning here are passed over.
-func ParseInfo(text []byte) (dispatch.Deployment, error) {
+// ParseInfo reads the settings text and tells too what the values of a load report mean, in their order. Keys
+// without a meaning here are passed over.
+func ParseInfo(text []byte) (d dispatch.Deployment, report []string, err error) {
 	var in info
 	if err := json.Unmarshal(text, &in); err != nil {
-		return dispatch.Deployment{}, fmt.Errorf("settings: %w", err)
+		return d, nil, fmt.Errorf("settings: %w", err)
 	}
-	d := dispatch.Deployment{
+	d = dispatch.Deployment{
 		Peers: in.PeersTotal, Zone: in.MyZone, ExcessValue: 1, Pushed: in.Discovery == "push",
 		TellsStart: in.FamilyInfo.TellsStart, Progress: span(in.FamilyInfo.Progress),
 		ProbePrice: in.Prices.Probe,
@@ -326,10 +363,10 @@
 		}
 		var known bool
 		if op.Effect, known = effects[o.Effect]; !known {
-			return d, fmt.Errorf("settings: unknown effect %q", o.Effect)
+			return d, nil, fmt.Errorf("settings: unknown effect %q", o.Effect)
 		}
 		if op.Scope, known = scopes[o.DedupScope]; !known {
-			return d, fmt.Errorf("settings: unknown scope %q", o.DedupScope)
+			return d, nil, fmt.Errorf("settings: unknown scope %q", o.DedupScope)
 		}
 		if i < len(in.FamilyInfo.ClassKind) {
 			op.Kind = in.FamilyInfo.ClassKind[i]
@@ -343,29 +380,10 @@
 		d.Tenants = append(d.Tenants, dispatch.Tenant{QuotaPerS: t.QuotaPerS, Share: t.Fraction})
 	}
 	if in.Report.How != "none" {
+		meaning := map[string]string{"x0": in.FamilyInfo.ReportX0, "x1": in.FamilyInfo.ReportX1}
 		for _, name := range in.Report.Names {
-			d.Fields = append(d.Fields, in.field(name))
+			report = append(report, cmp.Or(meaning[name], name))
 		}
 	}
-	return d, nil
-}
-
-func (in *info) field(name string) dispatch.Field {
-	switch name {
-	case "x0":
-		name = in.FamilyInfo.ReportX0
-	case "x1":
-		name = in.FamilyInfo.ReportX1
-	}
-	switch name {
-	case "free slots":
-		return dispatch.FieldFreeSlots
-	case "free memory":
-		return dispatch.FieldFreeMemory
-	case "waiting":
-		return dispatch.FieldWaiting
-	case "err_rps":
-		return dispatch.FieldErrors
-	}
-	return dispatch.FieldOther
+	return d, report, nil
 }
