--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -39,6 +39,7 @@
 	asideProbes  = 2                      // answered probes before a worker comes back
 	trialRuns    = 3                      // successes, one at a time, before it counts in full again
 	patience     = 300 * time.Millisecond // for a sign that is due
+	slackShare   = 0.5                    // of what an invocation's own work adds to the time it may wait, as hints are rough
 	coldMargin   = 0.8                    // of our part of a cold worker's budget, as hints are rough
 )
 
@@ -269,7 +270,7 @@
 type errand struct {
 	inv, fwd int
 	need
-	work             float64
+	work, size       float64
 	started          bool
 	sent, heard, end time.Duration // end: when its slots are free again; 0 while it is out
 }
@@ -366,7 +367,7 @@
 		w.warmth = w.coldFrom + (1-w.coldFrom)*max(0, age.Seconds()/w.warmAfter.Seconds())
 		for _, e := range w.errands {
 			if e.sent+w.window > w.now {
-				w.spent += e.work
+				w.spent += e.size
 			}
 		}
 	}
@@ -474,7 +475,9 @@
 			// It may go on: its slots stay counted for as long as it would have run.
 			e.end = max(w.now, e.sent+seconds(e.work*max(0.5, w.paces.middle())))
 		case Full, Unreachable, NotSent:
-			*e = errand{end: 1}
+			if e.end = e.sent; o.Result != Full { // what is turned away still counts as sent
+				e.size = 0
+			}
 			if o.Result == Full {
 				w.figure(w.now, need{})
 			} else if o.Result == Unreachable {
@@ -557,12 +560,13 @@
 // inv is an invocation.
 type inv struct {
 	need
-	id                 InvID
-	op, tenant         int
-	first, givenUp     time.Duration // its first try came, its client timeout
-	work, weight, rank float64
-	held, done         bool
-	tries              []tried
+	id             InvID
+	op, tenant     int
+	first, givenUp time.Duration // its first try came, its client timeout
+	work, size     float64       // hinted cost, effective size
+	weight, rank   float64
+	held, done     bool
+	tries          []tried
 }
 
 // desk holds invocations and decides on them.
@@ -677,10 +681,8 @@
 // hold ranks an invocation among those held.
 func (k *desk) hold(i int) {
 	j := &k.invs[i]
-	j.held, j.rank = true, j.weight
-	if j.work > 0 {
-		j.rank = j.weight / (j.work * (1 + spreadTimes*k.ops[j.op].ratios.deviation()))
-	}
+	j.size = j.work * (1 + spreadTimes*k.ops[j.op].ratios.deviation())
+	j.held, j.rank = true, j.weight/cmp.Or(j.size, 1)
 	at := slices.IndexFunc(k.held, func(other int) bool { return k.invs[other].rank < j.rank })
 	if at < 0 {
 		at = len(k.held)
@@ -739,7 +741,7 @@
 // within its latency objective any more. The objective grows with its own work, so on a fast worker with its size.
 func (k *desk) slack(j *inv, pace, speed float64) time.Duration {
 	o := &k.ops[j.op]
-	return o.objective + seconds(j.work*pace*(o.stretch*speed-1))
+	return o.objective + seconds(slackShare*j.work*pace*(o.stretch*speed-1))
 }
 
 // hopeless tells whether an invocation has waited too long for any worker. Before the latency objective itself has
@@ -859,8 +861,8 @@
 	j.tries = append(j.tries, tried{at: at, sent: k.now, out: true})
 	k.do(Forward{j.id, k.door.workers[at].id})
 	c.room = c.room.plus(-1, j.need)
-	c.mine, c.spent = c.mine+j.slots, c.spent+j.work
-	k.door.workers[at].put(sent{errand{inv: i, fwd: len(j.tries) - 1, need: j.need, work: j.work, sent: k.now}})
+	c.mine, c.spent = c.mine+j.slots, c.spent+j.size
+	k.door.workers[at].put(sent{errand{inv: i, fwd: len(j.tries) - 1, need: j.need, work: j.work, size: j.size, sent: k.now}})
 }
 
 // pick chooses the worker with most free slots less our sends, or -1 where no room seems free. It tells too whether
@@ -927,5 +929,5 @@
 			return false
 		}
 	}
-	return c.warmth == 1 || c.spent+j.work <= k.part*max(1, c.size.slots)/c.pace
+	return c.warmth == 1 || c.spent+j.size <= k.part*max(1, c.size.slots)/c.pace
 }
