--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -32,7 +32,7 @@
 	lagSamples   = 64                     // more of them, as others' traffic blurs each
 	figureCount  = 8                      // reports of a worker that others' load there is worked out from
 	probeFloor   = 3                      // random workers probed each second, whatever the traffic
-	probePoints  = 0.003                  // points of the result that probes above the floor may cost
+	probePoints  = 0.002                  // points of the result that probes above the floor may cost
 	asideFirst   = 500 * time.Millisecond // how long a worker is set aside at least; each next time doubles it
 	asideMost    = 8 * time.Second
 	refusedFirst = 50 * time.Millisecond  // the same for one tenant's operation that it turned away
@@ -657,10 +657,8 @@
 	if n := len(k.arrivals); n > 1 {
 		rate += k.each * float64(n) / max(0.1, k.now.Seconds()-k.arrivals[0])
 	}
-	// A probe before the last figure has had time to change tells what is known already.
-	every := min(max(seconds(float64(len(k.board))/rate), 2*lags[lag]), seconds(float64(len(k.board))/probeFloor))
 	for _, w := range k.door.workers {
-		w.put(pooled{lags[lag], every})
+		w.put(pooled{lags[lag], seconds(float64(len(k.board)) / rate)})
 	}
 }
 
