--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -521,7 +521,11 @@
 	if w.known && w.room.slots < 0 {
 		wait += seconds(3 * w.runs.mean())
 	}
-	for _, e := range w.errands {
+	for i := range w.errands {
+		e := &w.errands[i]
+		if due := e.sent + 2*beat; w.tellsStart && e.end == 0 && !e.started && due <= w.now && w.now < due+beat {
+			w.figure(w.now, need{slots: -e.slots}) // it waits, so nothing is free now, whatever the last report says
+		}
 		due := e.sent
 		switch {
 		case e.end != 0 || w.aside:
