--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -524,7 +524,6 @@
 	for i := range w.errands {
 		e := &w.errands[i]
 		if due := e.sent + 2*beat; w.tellsStart && e.end == 0 && !e.started && due <= w.now && w.now < due+beat {
-			w.desk.put(stuck{e.inv, e.fwd})
 			w.figure(w.now, need{slots: -e.slots}) // it waits, so nothing is free now, whatever the last report says
 		}
 		due := e.sent
