--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -40,6 +40,7 @@
 	trialRuns    = 3                      // successes, one at a time, before it counts in full again
 	patience     = 300 * time.Millisecond // for a sign that is due
 	slackShare   = 0.5                    // of what an invocation's own work adds to the time it may wait, as hints are rough
+	sureFresh    = 0.6                    // how far a figure must hold still for a clone
 	coldMargin   = 0.8                    // of our part of a cold worker's budget, as hints are rough
 )
 
@@ -286,7 +287,7 @@
 	at, zone, kind, cell       int
 	open, trial, known, tested bool    // tested: pace and speed are its own, and those of a warm worker
 	room, size                 need    // size: the most seen free
-	mine, pace, speed          float64 // pace: running time a unit of hinted work; speed: if hints are right in the mean
+	mine, fresh, pace, speed   float64 // fresh: how far the last figure holds still; pace: running time a unit of hinted work; speed: if hints are right in the mean
 	warmth, spent              float64 // of a cold worker: the part of its capacity, and our work sent of late
 }
 
@@ -353,10 +354,10 @@
 	if n := len(w.figures); n > 0 {
 		// What others hold drifts back to its usual level while a figure ages, and a crowd chases the worker that
 		// looked emptiest: the older the last figure, the more the mean of the last few counts.
-		fresh := math.Exp(-max(0, w.now-w.figures[n-1].at).Seconds() / max(w.runs.mean(), 0.1))
-		w.room = w.size.plus(-1, mine).plus(-fresh, w.figures[n-1].others)
+		w.fresh = math.Exp(-max(0, w.now-w.figures[n-1].at).Seconds() / max(w.runs.mean(), 0.1))
+		w.room = w.size.plus(-1, mine).plus(-w.fresh, w.figures[n-1].others)
 		for _, f := range w.figures {
-			w.room = w.room.plus((fresh-1)/float64(n), f.others)
+			w.room = w.room.plus((w.fresh-1)/float64(n), f.others)
 		}
 		w.room.slots = math.Round(w.room.slots)
 	}
@@ -852,7 +853,8 @@
 		if len(k.held) > 0 || !roomy || k.clones+1 >= cloneShare*k.jobs || !k.may(&k.invs[i]) {
 			return
 		}
-		if at >= 0 {
+		// Late reports leave phantom room on which clones would spawn: they go where the figure holds still.
+		if at >= 0 && k.board[at].fresh > sureFresh {
 			k.clones++
 			k.send(i, at)
 		}
