--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -133,7 +133,6 @@
 		ran   time.Duration
 	}
 	freed  struct{ id InvID }                 // desk to door: nothing more will be heard of it
-	ask    struct{}                           // desk to worker: probe
 	sent   struct{ errand }                   // desk to worker
 	pooled struct{ lag, every time.Duration } // desk to worker, each beat: age of reports, how often to probe
 	stuck  struct{ inv, fwd int }             // worker to desk: no answer is to be expected soon
@@ -316,8 +315,6 @@
 	switch n := note.(type) {
 	case Entry:
 		w.follow(n)
-	case ask:
-		w.do(Probe{w.id})
 	case sent:
 		w.errands = append(w.errands, n.errand)
 	case pooled:
@@ -580,18 +577,18 @@
 // desk holds invocations and decides on them.
 type desk struct {
 	inbox
-	door               *Dispatcher
-	zone               int
-	allowed            Allowances
-	credit, part, each float64 // of a cold worker's budget, in seconds of its capacity, ours; probes an invocation pays for
-	ops                []operation
-	invs               []inv
-	held, spare        []int // held: by rank, highest first
-	board              []card
-	jobs, clones       float64
-	arrivals           samples
-	misfits            [len(lags)]samples
-	refused            map[[3]int][2]time.Duration // by worker, operation, tenant: passed over till when, for how long
+	door         *Dispatcher
+	zone         int
+	allowed      Allowances
+	part, each   float64 // of a cold worker's budget, in seconds of its capacity, ours; probes an invocation pays for
+	ops          []operation
+	invs         []inv
+	held, spare  []int // held: by rank, highest first
+	board        []card
+	jobs, clones float64
+	arrivals     samples
+	misfits      [len(lags)]samples
+	refused      map[[3]int][2]time.Duration // by worker, operation, tenant: passed over till when, for how long
 }
 
 // slot finds a place for a new invocation.
@@ -662,6 +659,9 @@
 			lag = i
 		}
 	}
+	if n := len(k.arrivals); n > 1 {
+		rate += k.each * float64(n) / max(0.1, k.now.Seconds()-k.arrivals[0])
+	}
 	for _, w := range k.door.workers {
 		w.put(pooled{lags[lag], seconds(float64(len(k.board)) / rate)})
 	}
@@ -842,13 +842,6 @@
 		above += j.weight
 		if at, _ := k.pick(j); at >= 0 {
 			k.send(i, at)
-			// The next in line is asked now, so that the next release finds it fresh.
-			if next, _ := k.pick(j); next >= 0 && k.board[next].fresh < sureFresh {
-				if k.credit = min(k.credit+k.each, 2); k.credit >= 1 {
-					k.credit--
-					k.door.workers[next].put(ask{})
-				}
-			}
 			if inSet && k.ops[j.op].effect == Idempotent && len(j.tries) == 1 {
 				running = append(running, i)
 			}
