--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -41,7 +41,6 @@
 	patience     = 300 * time.Millisecond // for a sign that is due
 	slackShare   = 0.5                    // of what an invocation's own work adds to the time it may wait, as hints are rough
 	sureFresh    = 0.6                    // how far a figure must hold still for a clone
-	askFresh     = 0.8                    // how far a new figure must hold still for asking
 	coldMargin   = 0.8                    // of our part of a cold worker's budget, as hints are rough
 )
 
@@ -134,7 +133,6 @@
 		ran   time.Duration
 	}
 	freed  struct{ id InvID }                 // desk to door: nothing more will be heard of it
-	ask    struct{}                           // desk to worker: probe
 	sent   struct{ errand }                   // desk to worker
 	pooled struct{ lag, every time.Duration } // desk to worker, each beat: age of reports, how often to probe
 	stuck  struct{ inv, fwd int }             // worker to desk: no answer is to be expected soon
@@ -286,11 +284,11 @@
 
 // card is what a worker tells the desk of itself.
 type card struct {
-	at, zone, kind, cell              int
-	open, trial, known, tested, asked bool    // tested: pace and speed are its own, and those of a warm worker
-	room, size                        need    // size: the most seen free
-	mine, fresh, newest, pace, speed  float64 // newest: fresh as a new figure is; fresh: how far the last figure holds still; pace: running time a unit of hinted work; speed: if hints are right in the mean
-	warmth, spent                     float64 // of a cold worker: the part of its capacity, and our work sent of late
+	at, zone, kind, cell       int
+	open, trial, known, tested bool    // tested: pace and speed are its own, and those of a warm worker
+	room, size                 need    // size: the most seen free
+	mine, fresh, pace, speed   float64 // fresh: how far the last figure holds still; pace: running time a unit of hinted work; speed: if hints are right in the mean
+	warmth, spent              float64 // of a cold worker: the part of its capacity, and our work sent of late
 }
 
 // worker is the actor that keeps one worker's book.
@@ -317,9 +315,6 @@
 	switch n := note.(type) {
 	case Entry:
 		w.follow(n)
-	case ask:
-		w.asked = true
-		w.do(Probe{w.id})
 	case sent:
 		w.errands = append(w.errands, n.errand)
 	case pooled:
@@ -359,7 +354,6 @@
 	if n := len(w.figures); n > 0 {
 		// What others hold drifts back to its usual level while a figure ages, and a crowd chases the worker that
 		// looked emptiest: the older the last figure, the more the mean of the last few counts.
-		w.newest = math.Exp(-w.lag.Seconds() / max(w.runs.mean(), 0.1))
 		w.fresh = math.Exp(-max(0, w.now-w.figures[n-1].at).Seconds() / max(w.runs.mean(), 0.1))
 		w.room = w.size.plus(-1, mine).plus(-w.fresh, w.figures[n-1].others)
 		for _, f := range w.figures {
@@ -413,7 +407,6 @@
 }
 
 func (w *worker) answered(a Answer) {
-	w.asked = false
 	switch a.Result {
 	case Succeeded:
 		w.missed, w.answers = 0, w.answers+1
@@ -572,13 +565,13 @@
 // inv is an invocation.
 type inv struct {
 	need
-	id                    InvID
-	op, tenant            int
-	since, first, givenUp time.Duration // its first try came, its client timeout
-	work, size            float64       // hinted cost, effective size
-	weight, rank          float64
-	held, done            bool
-	tries                 []tried
+	id             InvID
+	op, tenant     int
+	first, givenUp time.Duration // its first try came, its client timeout
+	work, size     float64       // hinted cost, effective size
+	weight, rank   float64
+	held, done     bool
+	tries          []tried
 }
 
 // desk holds invocations and decides on them.
@@ -694,7 +687,7 @@
 func (k *desk) hold(i int) {
 	j := &k.invs[i]
 	j.size = j.work * (1 + spreadTimes*k.ops[j.op].ratios.deviation())
-	j.since, j.held, j.rank = k.now, true, j.weight/cmp.Or(j.size, 1)
+	j.held, j.rank = true, j.weight/cmp.Or(j.size, 1)
 	at := slices.IndexFunc(k.held, func(other int) bool { return k.invs[other].rank < j.rank })
 	if at < 0 {
 		at = len(k.held)
@@ -847,7 +840,7 @@
 		j := &k.invs[i]
 		inSet := above < epsilon*total
 		above += j.weight
-		if at, _ := k.pick(j); at >= 0 && !k.asks(j, at) {
+		if at, _ := k.pick(j); at >= 0 {
 			k.send(i, at)
 			if inSet && k.ops[j.op].effect == Idempotent && len(j.tries) == 1 {
 				running = append(running, i)
@@ -868,20 +861,6 @@
 	}
 }
 
-// asks tells whether an invocation is better held for a moment, until a probe has told whether there is room: the
-// last free slot of an ageing figure is often a phantom. Not where reports come too late to help.
-func (k *desk) asks(j *inv, at int) bool {
-	c := &k.board[at]
-	if c.room.slots > j.slots || c.fresh > sureFresh || c.newest < askFresh || k.now >= j.since+2*beat || !k.probes {
-		return false
-	}
-	if !c.asked {
-		c.asked = true
-		k.door.workers[at].put(ask{})
-	}
-	return true
-}
-
 func (k *desk) send(i, at int) {
 	j, c := &k.invs[i], &k.board[at]
 	k.unhold(i)
