--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -298,7 +298,7 @@
 	desk                 *inbox
 	id                   WorkerID
 	standing             Standing
-	cold, aside          bool
+	cold, aside, asked   bool
 	startedAt, asideTill time.Duration
 	lastSign, probeAt    time.Duration
 	lag, every           time.Duration // how old a report is when it comes; how often to probe
@@ -407,6 +407,7 @@
 }
 
 func (w *worker) answered(a Answer) {
+	w.asked = false
 	switch a.Result {
 	case Succeeded:
 		w.missed, w.answers = 0, w.answers+1
@@ -509,38 +510,39 @@
 }
 
 // watch probes now and then and looks for signs that are overdue. A hung worker shows the most free slots and would
-// draw all work; one whose figures show no room may just be working through what waits, so it gets longer.
+// draw all work, but one that is only busy must not lose its place: the first suspicion asks, and silence beyond
+// what waiting there explains decides.
 func (w *worker) watch() {
-	if w.now >= w.probeAt && w.probes && w.standing == Ready {
-		w.probeAt = w.now + w.every/2 + time.Duration(w.rng.Int63n(int64(w.every+1)))
-		if w.aside {
-			w.probeAt = w.now + asideFirst/2
-		}
-		w.do(Probe{w.id})
-	}
-	wait := patience + w.lag
-	if w.known && w.room.slots < 0 {
-		wait += seconds(3 * w.runs.mean())
-	}
+	suspect, wait := false, patience+w.lag
 	for i := range w.errands {
 		e := &w.errands[i]
-		if due := e.sent + 2*beat; w.tellsStart && e.end == 0 && !e.started && due <= w.now && w.now < due+beat {
-			w.figure(w.now, need{slots: -e.slots}) // it waits, so nothing is free now, whatever the last report says
-		}
 		due := e.sent
 		switch {
 		case e.end != 0 || w.aside:
 			continue
 		case w.tellsStart && !e.started:
+			if begin := e.sent + 2*beat; begin <= w.now && w.now < begin+beat {
+				w.figure(w.now, need{slots: -e.slots}) // it waits: nothing is free now, whatever the last report says
+			}
 		case w.progress > 0:
 			due = max(due, e.heard) + w.progress
 		default:
 			due += seconds(4 * e.work * max(1, w.paces.middle()))
 		}
-		if w.now > max(due, w.lastSign)+wait {
+		if silent := w.now - max(due, w.lastSign) - wait; silent > seconds(3*w.runs.mean()) {
 			w.setAside("silent", true)
+		} else if silent > 0 {
+			suspect = true
 		}
 	}
+	if w.probes && w.standing == Ready && (w.now >= w.probeAt || suspect && !w.asked) {
+		w.probeAt = w.now + w.every/2 + time.Duration(w.rng.Int63n(int64(w.every+1)))
+		if w.aside {
+			w.probeAt = w.now + asideFirst/2
+		}
+		w.asked = true
+		w.do(Probe{w.id})
+	}
 }
 
 // operation is what decisions use of an operation.
