--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -295,20 +295,20 @@
 type worker struct {
 	inbox
 	card
-	desk                        *inbox
-	id                          WorkerID
-	standing                    Standing
-	cold, aside, asked, suspect bool
-	startedAt, asideTill        time.Duration
-	lastSign, probeAt           time.Duration
-	lag, every                  time.Duration // how old a report is when it comes; how often to probe
-	errands                     []errand
-	figures                     []figure
-	load                        Load // the last report as it came
-	fit                         misfit
-	paces, speeds, runs         samples
-	asides, wanted              int // how often it was set aside of late; successes still wanted on trial
-	answers, missed             int // probes in a row with and without an answer
+	desk                 *inbox
+	id                   WorkerID
+	standing             Standing
+	cold, aside, asked   bool
+	startedAt, asideTill time.Duration
+	lastSign, probeAt    time.Duration
+	lag, every           time.Duration // how old a report is when it comes; how often to probe
+	errands              []errand
+	figures              []figure
+	load                 Load // the last report as it came
+	fit                  misfit
+	paces, speeds, runs  samples
+	asides, wanted       int // how often it was set aside of late; successes still wanted on trial
+	answers, missed      int // probes in a row with and without an answer
 }
 
 func (w *worker) read(note any) {
@@ -413,11 +413,7 @@
 		w.missed, w.answers = 0, w.answers+1
 		w.report(a.Load)
 		w.comeBack(w.answers >= asideProbes)
-	case Full: // probes are capped, which tells nothing, unless those before are what hangs there
-		if !w.suspect {
-			break
-		}
-		fallthrough
+	case Full: // probes are capped, which tells nothing
 	default:
 		w.answers, w.missed = 0, w.missed+1
 		if w.missed > 1 || w.lastSign < w.now-a.Took {
@@ -517,8 +513,7 @@
 // draw all work, but one that is only busy must not lose its place: the first suspicion asks, and silence beyond
 // what waiting there explains decides.
 func (w *worker) watch() {
-	w.suspect = false
-	wait := patience + w.lag
+	suspect, wait := false, patience+w.lag
 	for i := range w.errands {
 		e := &w.errands[i]
 		due := e.sent
@@ -537,10 +532,10 @@
 		if silent := w.now - max(due, w.lastSign) - wait; silent > seconds(3*w.runs.mean()) {
 			w.setAside("silent", true)
 		} else if silent > 0 {
-			w.suspect = true
+			suspect = true
 		}
 	}
-	if w.probes && w.standing == Ready && (w.now >= w.probeAt || w.suspect && !w.asked) {
+	if w.probes && w.standing == Ready && (w.now >= w.probeAt || suspect && !w.asked) {
 		w.probeAt = w.now + w.every/2 + time.Duration(w.rng.Int63n(int64(w.every+1)))
 		if w.aside {
 			w.probeAt = w.now + asideFirst/2
