--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -414,6 +414,7 @@
 		w.report(a.Load)
 		w.comeBack(w.answers >= asideProbes)
 	case Full: // probes are capped, which tells nothing
+		w.probeAt = min(w.probeAt, w.now+patience)
 	default:
 		w.answers, w.missed = 0, w.missed+1
 		if w.missed > 1 || w.lastSign < w.now-a.Took {
@@ -876,12 +877,12 @@
 // pick chooses the worker with most free slots less our sends, or -1 where no room seems free. It tells too whether
 // over half the pooled workers show room.
 func (k *desk) pick(j *inv) (best int, roomy bool) {
-	var pooled, known, roomCount, room, mine float64
+	var pooled, known, roomCount, room, mine, usual float64 // usual: our slots at workers with a figure
 	for _, c := range k.board {
 		if c.open {
 			pooled, mine = pooled+1, mine+c.mine
 			if c.known {
-				known, room = known+1, room+c.room.slots
+				known, room, usual = known+1, room+c.room.slots, usual+c.mine
 			}
 			if c.room.slots >= 1 {
 				roomCount++
@@ -901,7 +902,7 @@
 		if known == 0 { // no figure of free slots anywhere: the workers where we have least, up to the mean
 			has = j.slots + math.Floor(mine/pooled-c.mine)
 		} else if !c.known { // new to the pool: it counts at the mean
-			has = math.Round(room / known)
+			has = math.Round((room+usual)/known - c.mine)
 		}
 		if c.trial {
 			has = min(has, 1-c.mine)
