Count running time from the start or the first progress note

Cause: with a progress note in between, a forward's running time counted from that note, so long work looked fast.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -271,15 +271,8 @@
 type errand struct {
 	inv, fwd int
 	need
-	work, size       float64
-	started          bool
-	sent, heard, end time.Duration // end: when its slots are free again; 0 while it is out
-}
-
-// figure is what others had at a worker at a time.
-type figure struct {
-	at     time.Duration
-	others need
+	work, size              float64
+	sent, began, heard, end time.Duration // end: when its slots are free again; 0 while it is out
 }
 
 // card is what a worker tells the desk of itself.
@@ -295,20 +288,20 @@
 type worker struct {
 	inbox
 	card
-	desk                 *inbox
-	id                   WorkerID
-	standing             Standing
-	cold, aside, asked   bool
-	startedAt, asideTill time.Duration
-	lastSign, probeAt    time.Duration
-	lag, every           time.Duration // how old a report is when it comes; how often to probe
-	errands              []errand
-	figures              []figure
-	load                 Load // the last report as it came
-	fit                  misfit
-	paces, speeds, runs  samples
-	asides, wanted       int // how often it was set aside of late; successes still wanted on trial
-	answers, missed      int // probes in a row with and without an answer
+	desk                        *inbox
+	id                          WorkerID
+	standing                    Standing
+	cold, aside, asked          bool
+	startedAt, asideTill        time.Duration
+	lastSign, probeAt, figureAt time.Duration
+	lag, every                  time.Duration // how old a report is when it comes; how often to probe
+	errands                     []errand
+	figures                     []need // what others held at the last few reports, the last at figureAt
+	load                        Load   // the last report as it came
+	fit                         misfit
+	paces, speeds, runs         samples
+	asides, wanted              int // how often it was set aside of late; successes still wanted on trial
+	answers, missed             int // probes in a row with and without an answer
 }
 
 func (w *worker) read(note any) {
@@ -324,7 +317,11 @@
 		switch e := n.event.(type) {
 		case Sign:
 			if f := w.find(n.inv, e.Forward); f != nil {
-				w.lastSign, f.heard, f.started = w.now, w.now, f.started || e.Started
+				if w.lastSign, f.heard = w.now, w.now; e.Started {
+					f.began = w.now
+				} else if f.began == 0 { // its first progress note
+					f.began = w.now - w.progress
+				}
 				w.comeBack(true)
 			}
 		case Outcome:
@@ -354,10 +351,10 @@
 	if n := len(w.figures); n > 0 {
 		// What others hold drifts back to its usual level while a figure ages, and a crowd chases the worker that
 		// looked emptiest: the older the last figure, the more the mean of the last few counts.
-		w.fresh = math.Exp(-max(0, w.now-w.figures[n-1].at).Seconds() / max(w.runs.mean(), 0.1))
-		w.room = w.size.plus(-1, mine).plus(-w.fresh, w.figures[n-1].others)
-		for _, f := range w.figures {
-			w.room = w.room.plus((w.fresh-1)/float64(n), f.others)
+		w.fresh = math.Exp(-max(0, w.now-w.figureAt).Seconds() / max(w.runs.mean(), 0.1))
+		w.room = w.size.plus(-1, mine).plus(-w.fresh, w.figures[n-1])
+		for _, others := range w.figures {
+			w.room = w.room.plus((w.fresh-1)/float64(n), others)
 		}
 		w.room.slots = math.Round(w.room.slots)
 	}
@@ -447,7 +444,7 @@
 // figure keeps what others must have held when so much was free.
 func (w *worker) figure(at time.Duration, free need) {
 	others := w.size.plus(-1, free).plus(-1, w.held(at))
-	w.figures = append(w.figures, figure{at, need{max(0, others.slots), max(0, others.memory)}})
+	w.figures, w.figureAt = append(w.figures, need{max(0, others.slots), max(0, others.memory)}), at
 	w.figures = w.figures[max(0, len(w.figures)-figureCount):]
 }
 
@@ -455,13 +452,10 @@
 func (w *worker) finish(n about, o Outcome) {
 	w.report(o.Load)
 	if e := w.find(n.inv, o.Forward); e != nil {
-		e.end = w.now
-		w.lastSign = w.now
+		e.end, w.lastSign = w.now, w.now
 		switch o.Result {
 		case Succeeded:
-			if n.ran = w.now - e.sent; e.started {
-				n.ran = w.now - e.heard
-			}
+			n.ran = w.now - cmp.Or(e.began, e.sent)
 			w.runs.add(n.ran.Seconds(), sampleCount)
 			if e.work > 0 {
 				w.paces.add(n.ran.Seconds()/e.work, sampleCount)
@@ -477,13 +471,11 @@
 		case Cancelled:
 			// It may go on: its slots stay counted for as long as it would have run.
 			e.end = max(w.now, e.sent+seconds(e.work*max(0.5, w.paces.middle())))
-		case Full, Unreachable, NotSent:
-			if e.end = e.sent; o.Result != Full { // what is turned away still counts as sent
-				e.size = 0
-			}
-			if o.Result == Full {
-				w.figure(w.now, need{})
-			} else if o.Result == Unreachable {
+		case Full:
+			e.end = e.sent // it held nothing, though it counts as sent to a cold worker
+			w.figure(w.now, need{})
+		case Unreachable, NotSent:
+			if e.end, e.size = e.sent, 0; o.Result == Unreachable {
 				w.setAside("can't be reached", true)
 			}
 		}
@@ -521,7 +513,7 @@
 		switch {
 		case e.end != 0 || w.aside:
 			continue
-		case w.tellsStart && !e.started:
+		case w.tellsStart && e.began == 0:
 			if begin := e.sent + 2*beat; begin <= w.now && w.now < begin+beat {
 				w.figure(w.now, need{slots: -e.slots}) // it waits: nothing is free now, whatever the last report says
 			}
