--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,6 +38,7 @@
 	refusedFirst = 50 * time.Millisecond  // the same for one tenant's operation that it turned away
 	asideProbes  = 2                      // answered probes before a worker comes back
 	trialRuns    = 3                      // successes, one at a time, before it counts in full again
+	awaySpan     = time.Second            // what a throttled client is told to wait
 	patience     = 300 * time.Millisecond // for a sign that is due
 	slackShare   = 0.5                    // of what an invocation's own work adds to the time it may wait, as hints are rough
 	sureFresh    = 0.6                    // how far a figure must hold still for a clone
@@ -149,7 +150,6 @@
 	workerAt map[WorkerID]int
 	invAt    map[InvID]int
 	wakeAt   time.Duration
-	beats    uint64
 }
 
 // New starts an instance. The deployment is turned into the figures that decisions use and is not kept.
@@ -161,14 +161,18 @@
 	d.roster = roster{inbox: inbox{house: &d.house, read: d.roster.read}, door: d, asks: !dep.Pushed,
 		within: dep.Rules.AskWithin}
 	k := &d.desk
-	*k = desk{inbox: inbox{house: &d.house, read: k.read}, door: d, allowed: dep.Allowed, zone: dep.Zone,
+	*k = desk{inbox: inbox{house: &d.house, read: k.read}, door: d, zone: dep.Zone, cancels: dep.Allowed.Cancel,
+		mostOut: 1, mostForwards: max(1, dep.Allowed.MaxForwards),
 		refused: map[[3]int][2]time.Duration{}, each: probePoints / max(dep.ProbePrice, probePoints/4),
 		part: coldMargin * dep.Rules.FallMultiple * dep.Rules.Fall.Seconds() / float64(max(1, dep.Peers))}
+	if dep.Allowed.SecondCopies {
+		k.mostOut = 2
+	}
+	if dep.Allowed.RetryAfter {
+		k.after = min(dep.Allowed.MaxRetryAfter, awaySpan)
+	}
 	for _, o := range dep.Operations {
-		if o.BilledValue <= 0 {
-			o.BilledValue = 1
-		}
-		k.ops = append(k.ops, operation{weight: o.BilledValue, objective: o.LatencyObjective, window: o.DedupWindow,
+		k.ops = append(k.ops, operation{weight: cmp.Or(max(0, o.BilledValue), 1), objective: o.LatencyObjective, window: o.DedupWindow,
 			stretch: o.Stretch, late: o.LateValue > 0, effect: o.Effect, scope: o.Scope, kind: o.Kind})
 	}
 	return d
@@ -182,8 +186,8 @@
 		d.settle()
 	}
 	if d.wakeAt <= now {
-		d.beats, d.wakeAt = d.beats+1, now+beat
-		d.do(Wake{At: d.wakeAt, Token: d.beats})
+		d.wakeAt = now + beat
+		d.do(Wake{At: d.wakeAt})
 		d.roster.put(tick{})
 		d.desk.put(tick{})
 		d.settle()
@@ -560,39 +564,40 @@
 // inv is an invocation.
 type inv struct {
 	need
-	id             InvID
-	op, tenant     int
-	first, givenUp time.Duration // its first try came, its client timeout
-	work, size     float64       // hinted cost, effective size
-	weight, rank   float64
-	held, done     bool
-	tries          []tried
+	id               InvID
+	op, tenant       int
+	first, givenUp   time.Duration // its first try came, its client timeout
+	work, size       float64       // hinted cost, effective size
+	weight, rank     float64
+	held, done, over bool // over: nothing more will be heard of it
+	tries            []tried
 }
 
 // desk holds invocations and decides on them.
 type desk struct {
 	inbox
-	door         *Dispatcher
-	zone         int
-	allowed      Allowances
-	part, each   float64 // of a cold worker's budget, in seconds of its capacity, ours; probes an invocation pays for
-	ops          []operation
-	invs         []inv
-	held, spare  []int // held: by rank, highest first
-	board        []card
-	jobs, clones float64
-	arrivals     samples
-	misfits      [len(lags)]samples
-	refused      map[[3]int][2]time.Duration // by worker, operation, tenant: passed over till when, for how long
+	door                  *Dispatcher
+	zone                  int
+	after                 time.Duration // how long a throttled client is to stay away
+	cancels               bool
+	mostForwards, mostOut int
+	part, each            float64 // of a cold worker's budget, in seconds of its capacity, ours; probes an invocation pays for
+	ops                   []operation
+	invs                  []inv
+	held                  []int // by rank, highest first
+	board                 []card
+	jobs, clones          float64
+	arrivals              samples
+	misfits               [len(lags)]samples
+	refused               map[[3]int][2]time.Duration // by worker, operation, tenant: passed over till when, for how long
 }
 
 // slot finds a place for a new invocation.
 func (k *desk) slot() int {
-	if len(k.spare) == 0 {
-		k.spare, k.invs = append(k.spare, len(k.invs)), append(k.invs, inv{})
+	i := slices.IndexFunc(k.invs, func(j inv) bool { return j.over })
+	if i < 0 {
+		i, k.invs = len(k.invs), append(k.invs, inv{})
 	}
-	i := k.spare[len(k.spare)-1]
-	k.spare = k.spare[:len(k.spare)-1]
 	return i
 }
 
@@ -731,10 +736,8 @@
 func (k *desk) may(j *inv) bool {
 	o := &k.ops[j.op]
 	out, _, first := j.live()
-	if len(j.tries) >= max(1, k.allowed.MaxForwards) || out > 1 || out > 0 && !k.allowed.SecondCopies {
-		return false
-	}
-	return first == nil || o.effect == Idempotent || o.effect == Deduplicated && k.now < first.sent+o.window
+	return len(j.tries) < k.mostForwards && out < k.mostOut && (first == nil || o.effect == Idempotent ||
+		o.effect == Deduplicated && k.now < first.sent+o.window)
 }
 
 // slack is how long an invocation may wait, from its first try, before a worker of such a pace and speed can't end it
@@ -762,11 +765,7 @@
 	j := &k.invs[i]
 	o := &k.ops[j.op]
 	if _, _, first := j.live(); first == nil || o.effect == Idempotent || o.effect == Deduplicated && o.scope == ScopeAll {
-		after := time.Duration(0)
-		if k.allowed.RetryAfter {
-			after = min(k.allowed.MaxRetryAfter, time.Second)
-		}
-		k.do(Throttled{j.id, after})
+		k.do(Throttled{j.id, k.after})
 	} else {
 		k.do(Errored{j.id})
 	}
@@ -777,15 +776,15 @@
 func (k *desk) land(i, but int) {
 	j := &k.invs[i]
 	k.unhold(i)
+	j.over = true
 	for f, t := range j.tries {
-		if t.out && !j.done && f != but && k.allowed.Cancel {
+		if t.out && !j.done && f != but && k.cancels {
 			k.do(Cancel{j.id, f})
 		}
+		j.over = j.over && !t.out
 	}
-	j.done = true
-	if out, _, _ := j.live(); out == 0 {
+	if j.done = true; j.over {
 		k.door.put(freed{j.id})
-		k.spare = append(k.spare, i)
 	}
 }
 
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -163,7 +163,7 @@
 }
 
 // Due is a wake-up that was asked for.
-type Due struct{ Token uint64 }
+type Due struct{}
 
 // Form tells how a list is to be read.
 type Form uint8
@@ -226,10 +226,7 @@
 type Probe struct{ Worker WorkerID }
 
 // Wake asks for a Due event at or after a time.
-type Wake struct {
-	At    time.Duration
-	Token uint64
-}
+type Wake struct{ At time.Duration }
 
 // Follow subscribes to the list of workers.
 type Follow struct{}
--- a/internal/simwire/words.go
+++ b/internal/simwire/words.go
@@ -133,7 +133,8 @@
 	case evWithdrawn:
 		return dispatch.Withdrawn{Inv: dispatch.InvID(c.u64())}, nil
 	case evTickDue:
-		return dispatch.Due{Token: c.u64()}, nil
+		c.u64()
+		return dispatch.Due{}, nil
 	case evHealth:
 		a := dispatch.Answer{Worker: c.worker()}
 		status := c.u16()
@@ -263,7 +264,7 @@
 	case dispatch.Wake:
 		r.record(actAfter, scheduler)
 		r.f64(float64(base) + a.At.Seconds())
-		r.u64(a.Token)
+		r.u64(0) // one wake-up is like another
 	case dispatch.Follow:
 		r.record(actFollow, scheduler)
 		r.body = append(r.body, 1)
