--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -40,7 +40,8 @@
 	trialRuns    = 3                      // successes, one at a time, before it counts in full again
 	awaySpan     = time.Second            // what a throttled client is told to wait
 	patience     = 300 * time.Millisecond // for a sign that is due
-	slackShare   = 0.5                    // of what an invocation's own work adds to the time it may wait, as hints are rough
+	hintLow      = 1.4                    // the middle of true over hinted cost, where rough hints are right in the mean
+	waitShare    = 0.5                    // of the slack that an invocation's own work gives, as much may go in waiting
 	sureFresh    = 0.6                    // how far a figure must hold still for a clone
 	coldMargin   = 0.8                    // of our part of a cold worker's budget, as hints are rough
 )
@@ -65,7 +66,6 @@
 
 func (h *house) log(format string, args ...any) { h.do(Log{fmt.Sprintf(format, args...)}) }
 
-// settle empties all inboxes, in the order in which they got their first note.
 func (h *house) settle() {
 	for len(h.unread) > 0 {
 		b := h.unread[0]
@@ -78,7 +78,6 @@
 	}
 }
 
-// inbox is the one way into a part.
 type inbox struct {
 	*house
 	read  func(note any)
@@ -91,7 +90,6 @@
 	}
 }
 
-// samples are the last few measurements of something.
 type samples []float64
 
 func (s *samples) add(v float64, most int) {
@@ -217,7 +215,6 @@
 	}
 }
 
-// roster follows the list of workers.
 type roster struct {
 	inbox
 	door          *Dispatcher
@@ -264,14 +261,12 @@
 	}
 }
 
-// need is what a job takes of a worker.
 type need struct{ slots, memory float64 }
 
 func (n need) plus(times float64, m need) need {
 	return need{n.slots + times*m.slots, n.memory + times*m.memory}
 }
 
-// errand is a forward as its worker sees it.
 type errand struct {
 	inv, fwd int
 	need
@@ -279,12 +274,11 @@
 	sent, began, heard, end time.Duration // end: when its slots are free again; 0 while it is out
 }
 
-// card is what a worker tells the desk of itself.
 type card struct {
 	at, zone, kind, cell       int
-	open, trial, known, tested bool    // tested: pace and speed are its own, and those of a warm worker
+	open, trial, known, tested bool    // tested: its pace is its own, and a warm worker's
 	room, size                 need    // size: the most seen free
-	mine, fresh, pace, speed   float64 // fresh: how far the last figure holds still; pace: running time a unit of hinted work; speed: if hints are right in the mean
+	mine, fresh, pace          float64 // fresh: how far the last figure holds still; pace: running time a unit of hinted cost
 	warmth, spent              float64 // of a cold worker: the part of its capacity, and our work sent of late
 }
 
@@ -303,7 +297,7 @@
 	figures                     []need // what others held at the last few reports, the last at figureAt
 	load                        Load   // the last report as it came
 	fit                         misfit
-	paces, speeds, runs         samples
+	paces, runs                 samples
 	asides, wanted              int // how often it was set aside of late; successes still wanted on trial
 	answers, missed             int // probes in a row with and without an answer
 }
@@ -337,7 +331,6 @@
 	w.tell()
 }
 
-// held sums what our forwards held here at a time.
 func (w *worker) held(at time.Duration) (n need) {
 	for i := range w.errands {
 		if e := &w.errands[i]; e.sent <= at && (e.end == 0 || at < e.end) {
@@ -347,11 +340,10 @@
 	return n
 }
 
-// tell lets the desk know how the worker stands.
 func (w *worker) tell() {
 	mine := w.held(w.now)
 	w.open, w.trial, w.known = w.standing == Ready && !w.aside, w.wanted > 0, len(w.figures) > 0
-	w.mine, w.pace, w.speed, w.warmth, w.spent = mine.slots, w.paces.middle(), w.speeds.mean(), 1, 0
+	w.mine, w.pace, w.warmth, w.spent = mine.slots, w.paces.middle(), 1, 0
 	if n := len(w.figures); n > 0 {
 		// What others hold drifts back to its usual level while a figure ages, and a crowd chases the worker that
 		// looked emptiest: the older the last figure, the more the mean of the last few counts.
@@ -383,7 +375,7 @@
 		return
 	}
 	if e.Restarted && (!w.cold || e.StartedAt > w.startedAt) {
-		w.cold, w.startedAt, w.figures, w.load, w.paces, w.speeds = true, e.StartedAt, nil, Load{}, nil, nil
+		w.cold, w.startedAt, w.figures, w.load, w.paces = true, e.StartedAt, nil, Load{}, nil
 		w.aside, w.wanted, w.missed = false, 0, 0
 		w.release()
 	}
@@ -398,7 +390,6 @@
 	return &w.errands[at]
 }
 
-// release tells the desk that what is out here is not to be waited for.
 func (w *worker) release() {
 	for _, e := range w.errands {
 		if e.end == 0 {
@@ -445,14 +436,12 @@
 	w.errands = slices.DeleteFunc(w.errands, func(e errand) bool { return e.end != 0 && e.end < oldest })
 }
 
-// figure keeps what others must have held when so much was free.
 func (w *worker) figure(at time.Duration, free need) {
 	others := w.size.plus(-1, free).plus(-1, w.held(at))
 	w.figures, w.figureAt = append(w.figures, need{max(0, others.slots), max(0, others.memory)}), at
 	w.figures = w.figures[max(0, len(w.figures)-figureCount):]
 }
 
-// finish books the end of a forward and hands it on.
 func (w *worker) finish(n about, o Outcome) {
 	w.report(o.Load)
 	if e := w.find(n.inv, o.Forward); e != nil {
@@ -463,7 +452,6 @@
 			w.runs.add(n.ran.Seconds(), sampleCount)
 			if e.work > 0 {
 				w.paces.add(n.ran.Seconds()/e.work, sampleCount)
-				w.speeds.add(e.work/max(1e-3, n.ran.Seconds()), sampleCount)
 			}
 			w.comeBack(true)
 			if w.wanted = max(0, w.wanted-1); w.wanted == 0 {
@@ -487,7 +475,6 @@
 	w.desk.put(n)
 }
 
-// comeBack ends a set-aside, once what it takes was seen: answered probes or a sign of our own work.
 func (w *worker) comeBack(seen bool) {
 	if w.aside && seen && w.now >= w.asideTill {
 		w.aside, w.wanted = false, trialRuns*max(1, w.asides)
@@ -542,7 +529,6 @@
 	}
 }
 
-// operation is what decisions use of an operation.
 type operation struct {
 	weight, stretch   float64
 	objective, window time.Duration
@@ -554,14 +540,12 @@
 	most              time.Duration // the longest a client has been ready to wait
 }
 
-// tried is a forward as its invocation sees it.
 type tried struct {
 	at              int
 	sent            time.Duration
 	out, ran, stuck bool // ran: it may have run
 }
 
-// inv is an invocation.
 type inv struct {
 	need
 	id               InvID
@@ -573,7 +557,6 @@
 	tries            []tried
 }
 
-// desk holds invocations and decides on them.
 type desk struct {
 	inbox
 	door                  *Dispatcher
@@ -592,7 +575,6 @@
 	refused               map[[3]int][2]time.Duration // by worker, operation, tenant: passed over till when, for how long
 }
 
-// slot finds a place for a new invocation.
 func (k *desk) slot() int {
 	i := slices.IndexFunc(k.invs, func(j inv) bool { return j.over })
 	if i < 0 {
@@ -608,9 +590,9 @@
 			k.board = append(k.board, n)
 		}
 		if n.tested = n.pace > 0 && n.warmth == 1; n.pace == 0 {
-			n.pace, n.speed = k.usualOf(n.kind)
+			n.pace = k.usualPace(n.kind)
 		}
-		n.pace, n.speed = n.pace/n.warmth, n.speed*n.warmth
+		n.pace /= n.warmth
 		k.board[n.at] = n
 	case misfit:
 		for i, v := range n {
@@ -639,15 +621,14 @@
 	}
 }
 
-// usualOf is the usual pace and speed of a kind, for a worker that has done nothing yet.
-func (k *desk) usualOf(kind int) (pace, speed float64) {
-	var paces, speeds samples
+func (k *desk) usualPace(kind int) float64 {
+	var paces samples
 	for _, c := range k.board {
 		if c.tested && c.kind == kind {
-			paces, speeds = append(paces, c.pace), append(speeds, c.speed)
+			paces = append(paces, c.pace)
 		}
 	}
-	return cmp.Or(paces.middle(), 1), cmp.Or(speeds.middle(), 1)
+	return cmp.Or(paces.middle(), 1)
 }
 
 // learn works out what the last samples tell of the pool: the age of reports, which is the lag at which free slots
@@ -667,7 +648,6 @@
 	}
 }
 
-// take puts a new invocation into the hold.
 func (k *desk) take(i int, a Arrival) {
 	o, j := &k.ops[min(a.Operation, len(k.ops)-1)], &k.invs[i]
 	*j = inv{id: a.Inv, op: a.Operation, tenant: a.Tenant, givenUp: k.now + a.Budget, work: a.Hint,
@@ -683,7 +663,6 @@
 	k.hold(i)
 }
 
-// hold ranks an invocation among those held.
 func (k *desk) hold(i int) {
 	j := &k.invs[i]
 	j.size = j.work * (1 + spreadTimes*k.ops[j.op].ratios.deviation())
@@ -718,7 +697,6 @@
 	return out, hoped, first
 }
 
-// again holds an invocation once more if it may be sent again and nothing good is out.
 func (k *desk) again(i int) {
 	j := &k.invs[i]
 	out, hoped, _ := j.live()
@@ -740,11 +718,11 @@
 		o.effect == Deduplicated && k.now < first.sent+o.window)
 }
 
-// slack is how long an invocation may wait, from its first try, before a worker of such a pace and speed can't end it
-// within its latency objective any more. The objective grows with its own work, so on a fast worker with its size.
-func (k *desk) slack(j *inv, pace, speed float64) time.Duration {
+// slack is how long an invocation may wait, from its first try, until a worker of such a pace can't end it within its
+// latency objective any more. That grows with the invocation's own work, so on a fast worker waiting costs less.
+func (k *desk) slack(j *inv, pace float64) time.Duration {
 	o := &k.ops[j.op]
-	return o.objective + seconds(slackShare*j.work*pace*(o.stretch*speed-1))
+	return o.objective + seconds(waitShare*j.work*(hintLow*o.stretch-pace))
 }
 
 // hopeless tells whether an invocation has waited too long for any worker. Before the latency objective itself has
@@ -754,13 +732,12 @@
 	most := o.objective
 	for i := range k.board {
 		if c := &k.board[i]; c.open && (o.kind < 0 || o.kind == c.kind) {
-			most = max(most, k.slack(j, c.pace, c.speed))
+			most = max(most, k.slack(j, c.pace))
 		}
 	}
 	return k.now+2*beat >= j.givenUp || !o.late && k.now-j.first > most
 }
 
-// giveUp ends an invocation with nothing out.
 func (k *desk) giveUp(i int) {
 	j := &k.invs[i]
 	o := &k.ops[j.op]
@@ -772,7 +749,6 @@
 	k.land(i, -1)
 }
 
-// land ends the wait for an invocation whose final answer is given; forward but, if any, goes on.
 func (k *desk) land(i, but int) {
 	j := &k.invs[i]
 	k.unhold(i)
@@ -898,7 +874,7 @@
 		if c.trial {
 			has = min(has, 1-c.mine)
 		}
-		inTime := k.ops[j.op].late || k.now-j.first <= k.slack(j, c.pace, c.speed)
+		inTime := k.ops[j.op].late || k.now-j.first <= k.slack(j, c.pace)
 		if inTime && !timely {
 			best, timely = -1, true // better held for one that can do it in time than sent to one that can't
 		}
@@ -915,7 +891,6 @@
 	return best, 2*roomCount > pooled
 }
 
-// fits tells whether a worker may get an invocation at all.
 func (k *desk) fits(j *inv, at int, c *card) bool {
 	o := &k.ops[j.op]
 	if !c.open || o.kind >= 0 && o.kind != c.kind || c.known && c.room.memory < j.memory ||
