--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -51,8 +51,7 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// house is what all parts share: the moment, chance, what comes out, the loop that empties inboxes, and the few
-// figures of the deployment that every worker's book needs.
+// house is what all parts share, with the few figures of the deployment that every worker's book needs.
 type house struct {
 	now, progress, warmAfter, window time.Duration
 	rng                              *rand.Rand
@@ -158,20 +157,15 @@
 	d.inbox = inbox{house: &d.house, read: func(note any) { delete(d.invAt, note.(freed).id) }}
 	d.roster = roster{inbox: inbox{house: &d.house, read: d.roster.read}, door: d, asks: !dep.Pushed,
 		within: dep.Rules.AskWithin}
-	k := &d.desk
-	*k = desk{inbox: inbox{house: &d.house, read: k.read}, door: d, zone: dep.Zone, cancels: dep.Allowed.Cancel,
-		mostOut: 1, mostForwards: max(1, dep.Allowed.MaxForwards),
-		refused: map[[3]int][2]time.Duration{}, each: probePoints / max(dep.ProbePrice, probePoints/4),
+	d.desk = desk{inbox: inbox{house: &d.house, read: d.desk.read}, door: d, zone: dep.Zone,
+		cancels: dep.Allowed.Cancel, mostOut: dep.Allowed.MaxOut, mostForwards: max(1, dep.Allowed.MaxForwards),
+		after: min(dep.Allowed.MaxRetryAfter, awaySpan), refused: map[[3]int][2]time.Duration{},
+		each: probePoints / max(dep.ProbePrice, probePoints/4),
 		part: coldMargin * dep.Rules.FallMultiple * dep.Rules.Fall.Seconds() / float64(max(1, dep.Peers))}
-	if dep.Allowed.SecondCopies {
-		k.mostOut = 2
-	}
-	if dep.Allowed.RetryAfter {
-		k.after = min(dep.Allowed.MaxRetryAfter, awaySpan)
-	}
 	for _, o := range dep.Operations {
-		k.ops = append(k.ops, operation{weight: cmp.Or(max(0, o.BilledValue), 1), objective: o.LatencyObjective, window: o.DedupWindow,
-			stretch: o.Stretch, late: o.LateValue > 0, effect: o.Effect, scope: o.Scope, kind: o.Kind})
+		d.desk.ops = append(d.desk.ops, operation{weight: cmp.Or(max(0, o.BilledValue), 1), stretch: o.Stretch,
+			objective: o.LatencyObjective, window: o.DedupWindow, late: o.LateValue > 0, effect: o.Effect,
+			scope: o.Scope, kind: o.Kind})
 	}
 	return d
 }
@@ -278,7 +272,7 @@
 	at, zone, kind, cell       int
 	open, trial, known, tested bool    // tested: its pace is its own, and a warm worker's
 	room, size                 need    // size: the most seen free
-	mine, fresh, pace          float64 // fresh: how far the last figure holds still; pace: running time a unit of hinted cost
+	mine, fresh, pace          float64 // fresh: how far the last figure holds still; pace: running time over hinted cost
 	warmth, spent              float64 // of a cold worker: the part of its capacity, and our work sent of late
 }
 
@@ -493,9 +487,8 @@
 	}
 }
 
-// watch probes now and then and looks for signs that are overdue. A hung worker shows the most free slots and would
-// draw all work, but one that is only busy must not lose its place: the first suspicion asks, and silence beyond
-// what waiting there explains decides.
+// watch looks for signs that are overdue. A hung worker shows the most free slots and would draw all work, but one
+// that is only busy must not lose its place: suspicion asks, silence beyond what waiting there explains decides.
 func (w *worker) watch() {
 	suspect, wait := false, patience+w.lag
 	for i := range w.errands {
@@ -548,13 +541,13 @@
 
 type inv struct {
 	need
-	id               InvID
-	op, tenant       int
-	first, givenUp   time.Duration // its first try came, its client timeout
-	work, size       float64       // hinted cost, effective size
-	weight, rank     float64
-	held, done, over bool // over: nothing more will be heard of it
-	tries            []tried
+	id             InvID
+	op, tenant     int
+	first, givenUp time.Duration // its first try came, its client timeout
+	work, size     float64       // hinted cost, effective size
+	weight, rank   float64
+	done, over     bool // answered; nothing more will be heard of it
+	tries          []tried
 }
 
 type desk struct {
@@ -564,7 +557,7 @@
 	after                 time.Duration // how long a throttled client is to stay away
 	cancels               bool
 	mostForwards, mostOut int
-	part, each            float64 // of a cold worker's budget, in seconds of its capacity, ours; probes an invocation pays for
+	part, each            float64 // seconds of a cold worker's capacity that are ours; probes that an invocation pays for
 	ops                   []operation
 	invs                  []inv
 	held                  []int // by rank, highest first
@@ -572,7 +565,7 @@
 	jobs, clones          float64
 	arrivals              samples
 	misfits               [len(lags)]samples
-	refused               map[[3]int][2]time.Duration // by worker, operation, tenant: passed over till when, for how long
+	refused               map[[3]int][2]time.Duration // worker, operation, tenant: passed over till when, for how long
 }
 
 func (k *desk) slot() int {
@@ -631,8 +624,7 @@
 	return cmp.Or(paces.middle(), 1)
 }
 
-// learn works out what the last samples tell of the pool: the age of reports, which is the lag at which free slots
-// plus our own vary least from one report to the next, and how often probes pay.
+// learn works out how old reports are: at the true lag, free slots plus our own vary least from one to the next.
 func (k *desk) learn() {
 	lag, rate := 0, float64(probeFloor)
 	for i, s := range k.misfits {
@@ -666,7 +658,7 @@
 func (k *desk) hold(i int) {
 	j := &k.invs[i]
 	j.size = j.work * (1 + spreadTimes*k.ops[j.op].ratios.deviation())
-	j.held, j.rank = true, j.weight/cmp.Or(j.size, 1)
+	j.rank = j.weight / cmp.Or(j.size, 1)
 	at := slices.IndexFunc(k.held, func(other int) bool { return k.invs[other].rank < j.rank })
 	if at < 0 {
 		at = len(k.held)
@@ -675,12 +667,11 @@
 }
 
 func (k *desk) unhold(i int) {
-	k.invs[i].held = false
 	k.held = slices.DeleteFunc(k.held, func(other int) bool { return other == i })
 }
 
-// live counts the forwards that are out, and those of them from which an answer is to be expected. first is the first
-// that may have run: it fixes group and window of what is deduplicated.
+// live counts the forwards that are out, and those from which an answer is to be expected. first is the first that
+// may have run: it fixes group and window of what is deduplicated.
 func (j *inv) live() (out, hoped int, first *tried) {
 	for f := range j.tries {
 		t := &j.tries[f]
@@ -700,7 +691,7 @@
 func (k *desk) again(i int) {
 	j := &k.invs[i]
 	out, hoped, _ := j.live()
-	if j.done || j.held || hoped > 0 {
+	if j.done || hoped > 0 || slices.Contains(k.held, i) {
 		return
 	}
 	if k.may(j) && !k.hopeless(j) {
@@ -718,15 +709,13 @@
 		o.effect == Deduplicated && k.now < first.sent+o.window)
 }
 
-// slack is how long an invocation may wait, from its first try, until a worker of such a pace can't end it within its
-// latency objective any more. That grows with the invocation's own work, so on a fast worker waiting costs less.
+// slack is how long an invocation may wait, from its first try, before a worker of such a pace is too late with it.
 func (k *desk) slack(j *inv, pace float64) time.Duration {
 	o := &k.ops[j.op]
 	return o.objective + seconds(waitShare*j.work*(hintLow*o.stretch-pace))
 }
 
-// hopeless tells whether an invocation has waited too long for any worker. Before the latency objective itself has
-// passed nothing is hopeless, as paces may be wrong.
+// hopeless: it has waited too long for any worker. Not before the plain objective has passed, as paces may be wrong.
 func (k *desk) hopeless(j *inv) bool {
 	o := &k.ops[j.op]
 	most := o.objective
@@ -741,7 +730,8 @@
 func (k *desk) giveUp(i int) {
 	j := &k.invs[i]
 	o := &k.ops[j.op]
-	if _, _, first := j.live(); first == nil || o.effect == Idempotent || o.effect == Deduplicated && o.scope == ScopeAll {
+	_, _, first := j.live()
+	if first == nil || o.effect == Idempotent || o.effect == Deduplicated && o.scope == ScopeAll {
 		k.do(Throttled{j.id, k.after})
 	} else {
 		k.do(Errored{j.id})
@@ -787,7 +777,7 @@
 		k.land(n.inv, -1)
 	case k.now < j.givenUp && e.Result != NotSent:
 		k.again(n.inv)
-	case out == 0 && !j.held:
+	case out == 0 && !slices.Contains(k.held, n.inv):
 		k.giveUp(n.inv)
 	}
 }
@@ -838,11 +828,11 @@
 	k.do(Forward{j.id, k.door.workers[at].id})
 	c.room = c.room.plus(-1, j.need)
 	c.mine, c.spent = c.mine+j.slots, c.spent+j.size
-	k.door.workers[at].put(sent{errand{inv: i, fwd: len(j.tries) - 1, need: j.need, work: j.work, size: j.size, sent: k.now}})
+	k.door.workers[at].put(sent{errand{inv: i, fwd: len(j.tries) - 1, need: j.need, work: j.work, size: j.size,
+		sent: k.now}})
 }
 
-// pick chooses the worker with most free slots less our sends, or -1 where no room seems free. It tells too whether
-// over half the pooled workers show room.
+// pick gives -1 where no room seems free. roomy: over half the pooled workers show room.
 func (k *desk) pick(j *inv) (best int, roomy bool) {
 	var pooled, known, roomCount, room, mine, usual float64 // usual: our slots at workers with a figure
 	for _, c := range k.board {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -74,9 +74,10 @@
 
 // Allowances say what the deployment permits.
 type Allowances struct {
-	Probes, Cancel, SecondCopies, RetryAfter bool
-	MaxForwards                              int
-	MaxRetryAfter                            time.Duration
+	Probes, Cancel bool
+	MaxForwards    int           // of one invocation
+	MaxOut         int           // of these, out at once
+	MaxRetryAfter  time.Duration // that a throttling reply may ask for; 0: none
 }
 
 // Rules are the figures of the four rules.
--- a/internal/simwire/words.go
+++ b/internal/simwire/words.go
@@ -344,15 +344,19 @@
 		TellsStart: in.FamilyInfo.TellsStart, Progress: span(in.FamilyInfo.Progress),
 		ProbePrice: in.Prices.Probe,
 		Allowed: dispatch.Allowances{
-			Probes: in.Limits.Probes, Cancel: in.Limits.Cancel, SecondCopies: in.Limits.SecondCopies,
-			RetryAfter: in.Limits.RetryAfter, MaxForwards: in.Limits.MostForwards,
-			MaxRetryAfter: span(in.Limits.MaxRetryAfter),
+			Probes: in.Limits.Probes, Cancel: in.Limits.Cancel, MaxForwards: in.Limits.MostForwards, MaxOut: 1,
 		},
 		Rules: dispatch.Rules{
 			AskWithin: span(in.Rules.AskWithin), ColdFrom: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfter),
 			FallMultiple: in.Rules.FallMultiple, Fall: span(in.Rules.Fall),
 		},
 	}
+	if in.Limits.SecondCopies {
+		d.Allowed.MaxOut = 2
+	}
+	if in.Limits.RetryAfter {
+		d.Allowed.MaxRetryAfter = span(in.Limits.MaxRetryAfter)
+	}
 	if in.ExcessBilledValue != nil {
 		d.ExcessValue = *in.ExcessBilledValue
 	}
