--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,8 +1,6 @@
-// Package dispatch decides for one scheduler which worker each invocation goes to, and when. All decisions
-// are in this file; the interface (events, actions, what a deployment tells) is in types.go.
-//
-// Call New once at the start, then Handle with all events of one moment, and carry the actions out in order.
-// Nothing else goes in or comes out: no clock, no goroutine, no state outside the Dispatcher.
+// Package dispatch decides for one scheduler which worker each invocation goes to, and when. Call New once at
+// the start, then Handle with all events of one moment, and carry the actions out in order. All decisions are
+// in this file; the interface (events, actions, what a deployment tells) is in types.go.
 //
 // The design, SRPTMS+C, decides the ordinary path: hold, rank, running set, release, clones, pick. Beside it
 // stand six mechanisms:
@@ -24,26 +22,24 @@
 )
 
 const (
-	epsilon      = 0.6                    // the running set's part of held weight
-	spreadTimes  = 3                      // r of the effective size
-	cloneShare   = 0.2                    // clones stay under this part of invocations
-	beat         = 20 * time.Millisecond  // how often time alone may change a decision
-	sampleCount  = 16                     // measurements are the last few samples
-	lagSamples   = 64                     // more of them, as others' traffic blurs each
-	figureCount  = 8                      // reports of a worker that others' load there is worked out from
-	probeFloor   = 3                      // random workers probed each second, whatever the traffic
-	probePoints  = 0.002                  // points of the result that probes above the floor may cost
-	asideFirst   = 500 * time.Millisecond // how long a worker is set aside at least; each next time doubles it
-	asideMost    = 8 * time.Second
-	refusedFirst = 50 * time.Millisecond  // the same for one tenant's operation that it turned away
-	asideProbes  = 2                      // answered probes before a worker comes back
-	trialRuns    = 3                      // successes, one at a time, before it counts in full again
-	awaySpan     = time.Second            // what a throttled client is told to wait
-	patience     = 300 * time.Millisecond // for a sign that is due
-	hintLow      = 1.4                    // the middle of true over hinted cost, where rough hints are right in the mean
-	waitShare    = 0.5                    // of the slack that an invocation's own work gives, as much may go in waiting
-	sureFresh    = 0.6                    // how far a figure must hold still for a clone
-	coldMargin   = 0.8                    // of our part of a cold worker's budget, as hints are rough
+	epsilon     = 0.6                    // the running set's part of held weight
+	spreadTimes = 3                      // r of the effective size
+	cloneShare  = 0.2                    // clones stay under this part of invocations
+	beat        = 20 * time.Millisecond  // how often time alone may change a decision
+	sampleCount = 16                     // measurements are the last few samples
+	lagSamples  = 64                     // more of them, as others' traffic blurs each
+	figureCount = 8                      // reports of a worker that others' load there is worked out from
+	probeFloor  = 3                      // random workers probed each second, whatever the traffic
+	probePoints = 0.002                  // points of the result that probes above the floor may cost
+	asideFirst  = 500 * time.Millisecond // how long a worker is set aside at least; each next time doubles it
+	asideMost   = 8 * time.Second
+	asideProbes = 2                      // answered probes before a worker comes back
+	trialRuns   = 3                      // successes, one at a time, before it counts in full again
+	awaySpan    = time.Second            // what a throttled client is told to wait
+	patience    = 300 * time.Millisecond // for a sign that is due
+	hintLow     = 1.4                    // how far work lies over hinted cost in the middle, as hints are rough
+	waitShare   = 0.5                    // of the slack that own work gives, what waiting may use
+	sureFresh   = 0.6                    // how far a figure must hold still for a clone
 )
 
 // lags are the ages of a report among which the likeliest is learned.
@@ -63,14 +59,10 @@
 
 func (h *house) do(a Action) { h.out = append(h.out, a) }
 
-func (h *house) log(format string, args ...any) { h.do(Log{fmt.Sprintf(format, args...)}) }
-
 func (h *house) settle() {
 	for len(h.unread) > 0 {
-		b := h.unread[0]
-		h.unread = h.unread[1:]
-		notes := b.notes
-		b.notes = nil
+		b, notes := h.unread[0], h.unread[0].notes
+		h.unread, b.notes = h.unread[1:], nil
 		for _, note := range notes {
 			b.read(note)
 		}
@@ -105,21 +97,12 @@
 	return sum / float64(max(1, len(s)))
 }
 
-func (s samples) deviation() float64 {
-	squares := samples{}
-	for _, v := range s {
-		squares = append(squares, v*v)
-	}
-	return math.Sqrt(max(0, squares.mean()-s.mean()*s.mean()))
+// at is a quantile, which one heavy invocation can't move as it moves a mean. 0 where nothing was measured.
+func (s samples) at(part float64) float64 {
+	return append(slices.Sorted(slices.Values(s)), 0)[int(part*float64(len(s)))]
 }
 
-// middle is the median: one heavy invocation can't move it. 0 where nothing was measured.
-func (s samples) middle() float64 {
-	if len(s) == 0 {
-		return 0
-	}
-	return slices.Sorted(slices.Values(s))[len(s)/2]
-}
+func (s samples) spread() float64 { return s.at(0.84) - s.at(0.5) }
 
 // The notes that parts put into each other's inboxes, beside the events themselves.
 type (
@@ -137,31 +120,32 @@
 	misfit [len(lags)]float64                 // worker to desk: how badly each lag explains a report
 )
 
-// Dispatcher is one scheduler's decisions and its door: ids become small indices here.
+// Dispatcher is one scheduler's decisions. As the door it makes ids small indices, and it follows the list.
 type Dispatcher struct {
 	house
 	inbox
-	desk     desk
-	roster   roster
-	workers  []*worker
-	workerAt map[WorkerID]int
-	invAt    map[InvID]int
-	wakeAt   time.Duration
+	desk                  desk
+	workers               []*worker
+	workerAt              map[WorkerID]int
+	invAt                 map[InvID]int
+	asks, follows         bool
+	failed                int
+	wakeAt, within, askAt time.Duration // askAt: when to ask for the list again if nothing has come by then
 }
 
 // New starts an instance. The deployment is turned into the figures that decisions use and is not kept.
 func New(dep Deployment, seed int64) *Dispatcher {
-	d := &Dispatcher{workerAt: map[WorkerID]int{}, invAt: map[InvID]int{}}
-	d.house = house{rng: rand.New(rand.NewSource(seed)), probes: dep.Allowed.Probes, tellsStart: dep.TellsStart,
-		progress: dep.Progress, coldFrom: dep.Rules.ColdFrom, warmAfter: dep.Rules.WarmAfter, window: dep.Rules.Fall}
-	d.inbox = inbox{house: &d.house, read: func(note any) { delete(d.invAt, note.(freed).id) }}
-	d.roster = roster{inbox: inbox{house: &d.house, read: d.roster.read}, door: d, asks: !dep.Pushed,
+	d := &Dispatcher{workerAt: map[WorkerID]int{}, invAt: map[InvID]int{}, asks: !dep.Pushed,
 		within: dep.Rules.AskWithin}
+	d.house = house{rng: rand.New(rand.NewSource(seed)), probes: dep.Allowed.Probes, window: dep.Rules.Fall,
+		progress: dep.Progress, tellsStart: dep.TellsStart, coldFrom: dep.Rules.ColdFrom,
+		warmAfter: dep.Rules.WarmAfter}
+	d.inbox = inbox{house: &d.house, read: d.read}
 	d.desk = desk{inbox: inbox{house: &d.house, read: d.desk.read}, door: d, zone: dep.Zone,
 		cancels: dep.Allowed.Cancel, mostOut: dep.Allowed.MaxOut, mostForwards: max(1, dep.Allowed.MaxForwards),
 		after: min(dep.Allowed.MaxRetryAfter, awaySpan), refused: map[[3]int][2]time.Duration{},
 		each: probePoints / max(dep.ProbePrice, probePoints/4),
-		part: coldMargin * dep.Rules.FallMultiple * dep.Rules.Fall.Seconds() / float64(max(1, dep.Peers))}
+		part: dep.Rules.FallMultiple * dep.Rules.Fall.Seconds() / float64(max(1, dep.Peers))}
 	for _, o := range dep.Operations {
 		d.desk.ops = append(d.desk.ops, operation{weight: cmp.Or(max(0, o.BilledValue), 1), stretch: o.Stretch,
 			objective: o.LatencyObjective, window: o.DedupWindow, late: o.LateValue > 0, effect: o.Effect,
@@ -175,12 +159,11 @@
 	d.now, d.out = now, d.out[:0]
 	for _, event := range events {
 		d.enter(event)
-		d.settle()
 	}
 	if d.wakeAt <= now {
 		d.wakeAt = now + beat
 		d.do(Wake{At: d.wakeAt})
-		d.roster.put(tick{})
+		d.put(tick{})
 		d.desk.put(tick{})
 		d.settle()
 	}
@@ -205,61 +188,59 @@
 	case held:
 		d.desk.put(n)
 	default:
-		d.roster.put(event)
+		d.put(event)
 	}
+	d.settle()
 }
 
-type roster struct {
-	inbox
-	door          *Dispatcher
-	asks, follows bool
-	within, askAt time.Duration // askAt: when to ask again if nothing has come by then
-	failed        int
+func (d *Dispatcher) read(note any) {
+	switch n := note.(type) {
+	case freed:
+		delete(d.invAt, n.id)
+	case tick:
+		if d.asks && !d.follows && d.now >= d.askAt {
+			d.do(Follow{})
+			d.askAt = d.now + max(time.Second, d.within/2)
+		}
+	case Listing:
+		d.follow(n)
+	}
 }
 
-func (r *roster) read(note any) {
-	n, is := note.(Listing)
-	if _, beats := note.(tick); beats && r.asks && !r.follows && r.now >= r.askAt {
-		r.do(Follow{})
-		r.askAt = r.now + max(time.Second, r.within/2)
-	}
-	if !is {
-		return
-	}
-	if n.Form == ListFailed {
+func (d *Dispatcher) follow(list Listing) {
+	if list.Form == ListFailed {
 		// A list service that is down must not get all schedulers' calls at once, and one that has not been
 		// asked within the stated time makes us count as told: spread out, but well inside it.
-		wait := max(min(250*time.Millisecond<<min(r.failed, 5), r.within/4), 250*time.Millisecond)
-		r.follows, r.failed = false, r.failed+1
-		r.askAt = r.now + wait/2 + time.Duration(r.rng.Int63n(int64(wait)))
-		r.log("list call failed or subscription lost, asking again at %v", r.askAt)
+		wait := max(min(250*time.Millisecond<<min(d.failed, 5), d.within/4), 250*time.Millisecond)
+		d.follows, d.failed = false, d.failed+1
+		d.askAt = d.now + wait/2 + time.Duration(d.rng.Int63n(int64(wait)))
+		d.do(Log{fmt.Sprintf("list call failed or subscription lost, asking again at %v", d.askAt)})
 		return
 	}
-	if r.now > 0 { // the first one is only what was cached
-		r.follows, r.failed = true, 0
+	if d.now > 0 { // the first one is only what was cached
+		d.follows, d.failed = true, 0
 	}
-	for _, w := range r.door.workers {
-		if n.Form == ListWhole && !slices.ContainsFunc(n.Entries, func(e Entry) bool { return e.Worker == w.id }) {
+	for _, w := range d.workers {
+		named := slices.ContainsFunc(list.Entries, func(e Entry) bool { return e.Worker == w.id })
+		if list.Form == ListWhole && !named {
 			w.put(Entry{Standing: Gone})
 		}
 	}
-	for _, e := range n.Entries {
-		at, known := r.door.workerAt[e.Worker]
+	for _, e := range list.Entries {
+		at, known := d.workerAt[e.Worker]
 		if !known {
-			at = len(r.door.workers)
-			w := &worker{inbox: inbox{house: r.house}, desk: &r.door.desk.inbox, id: e.Worker, card: card{at: at}}
+			at = len(d.workers)
+			w := &worker{inbox: inbox{house: &d.house}, desk: &d.desk.inbox, id: e.Worker, card: card{at: at}}
 			w.inbox.read = w.read
-			r.door.workers, r.door.workerAt[e.Worker] = append(r.door.workers, w), at
+			d.workers, d.workerAt[e.Worker] = append(d.workers, w), at
 		}
-		r.door.workers[at].put(e)
+		d.workers[at].put(e)
 	}
 }
 
 type need struct{ slots, memory float64 }
 
-func (n need) plus(times float64, m need) need {
-	return need{n.slots + times*m.slots, n.memory + times*m.memory}
-}
+func (n need) plus(t float64, m need) need { return need{n.slots + t*m.slots, n.memory + t*m.memory} }
 
 type errand struct {
 	inv, fwd int
@@ -272,7 +253,7 @@
 	at, zone, kind, cell       int
 	open, trial, known, tested bool    // tested: its pace is its own, and a warm worker's
 	room, size                 need    // size: the most seen free
-	mine, fresh, pace          float64 // fresh: how far the last figure holds still; pace: running time over hinted cost
+	mine, fresh, pace          float64 // how far the last figure holds still; running time over hinted cost
 	warmth, spent              float64 // of a cold worker: the part of its capacity, and our work sent of late
 }
 
@@ -337,7 +318,7 @@
 func (w *worker) tell() {
 	mine := w.held(w.now)
 	w.open, w.trial, w.known = w.standing == Ready && !w.aside, w.wanted > 0, len(w.figures) > 0
-	w.mine, w.pace, w.warmth, w.spent = mine.slots, w.paces.middle(), 1, 0
+	w.mine, w.pace, w.warmth, w.spent = mine.slots, w.paces.at(0.5), 1, 0
 	if n := len(w.figures); n > 0 {
 		// What others hold drifts back to its usual level while a figure ages, and a crowd chases the worker that
 		// looked emptiest: the older the last figure, the more the mean of the last few counts.
@@ -348,9 +329,6 @@
 		}
 		w.room.slots = math.Round(w.room.slots)
 	}
-	if w.load.FreeMemory < 0 {
-		w.room.memory = math.Inf(1)
-	}
 	if age := w.now - w.startedAt; w.cold && age < w.warmAfter {
 		w.warmth = w.coldFrom + (1-w.coldFrom)*max(0, age.Seconds()/w.warmAfter.Seconds())
 		for _, e := range w.errands {
@@ -363,8 +341,7 @@
 }
 
 func (w *worker) follow(e Entry) {
-	w.standing = e.Standing
-	if e.Standing == Gone {
+	if w.standing = e.Standing; e.Standing == Gone {
 		w.release()
 		return
 	}
@@ -414,7 +391,7 @@
 	if load == nil || *load == w.load || load.FreeSlots < 0 {
 		return
 	}
-	free := need{math.Round(load.FreeSlots) - math.Round(max(0, load.Waiting)), load.FreeMemory}
+	free := need{math.Round(load.FreeSlots - load.Waiting), load.FreeMemory}
 	w.size = need{max(w.size.slots, free.slots), max(w.size.memory, free.memory)}
 	var fit, differ misfit
 	for i, lag := range lags {
@@ -444,9 +421,7 @@
 		case Succeeded:
 			n.ran = w.now - cmp.Or(e.began, e.sent)
 			w.runs.add(n.ran.Seconds(), sampleCount)
-			if e.work > 0 {
-				w.paces.add(n.ran.Seconds()/e.work, sampleCount)
-			}
+			w.paces.add(n.ran.Seconds()/e.work, sampleCount)
 			w.comeBack(true)
 			if w.wanted = max(0, w.wanted-1); w.wanted == 0 {
 				w.asides = max(0, w.asides-1)
@@ -456,7 +431,7 @@
 			w.setAside("fails what it gets", false)
 		case Cancelled:
 			// It may go on: its slots stay counted for as long as it would have run.
-			e.end = max(w.now, e.sent+seconds(e.work*max(0.5, w.paces.middle())))
+			e.end = max(w.now, e.sent+seconds(e.work*max(0.5, w.paces.at(0.5))))
 		case Full:
 			e.end = e.sent // it held nothing, though it counts as sent to a cold worker
 			w.figure(w.now, need{})
@@ -472,7 +447,7 @@
 func (w *worker) comeBack(seen bool) {
 	if w.aside && seen && w.now >= w.asideTill {
 		w.aside, w.wanted = false, trialRuns*max(1, w.asides)
-		w.log("worker %v is back, on trial", w.id)
+		w.do(Log{fmt.Sprintf("worker %v is back, on trial", w.id)})
 	}
 }
 
@@ -480,15 +455,15 @@
 	if !w.aside && w.standing == Ready {
 		w.asideTill = w.now + min(asideFirst<<w.asides, asideMost)
 		w.aside, w.answers, w.asides = true, 0, min(w.asides+1, 5)
-		w.log("worker %v is set aside: %s", w.id, why)
+		w.do(Log{fmt.Sprintf("worker %v is set aside: %s", w.id, why)})
 	}
 	if silent {
 		w.release()
 	}
 }
 
-// watch looks for signs that are overdue. A hung worker shows the most free slots and would draw all work, but one
-// that is only busy must not lose its place: suspicion asks, silence beyond what waiting there explains decides.
+// watch looks for overdue signs. A hung worker shows the most free slots and would draw all work, but a busy
+// one must not lose its place: suspicion asks, silence beyond what waiting explains decides.
 func (w *worker) watch() {
 	suspect, wait := false, patience+w.lag
 	for i := range w.errands {
@@ -504,7 +479,7 @@
 		case w.progress > 0:
 			due = max(due, e.heard) + w.progress
 		default:
-			due += seconds(4 * e.work * max(1, w.paces.middle()))
+			due += seconds(4 * e.work * max(1, w.paces.at(0.5)))
 		}
 		if silent := w.now - max(due, w.lastSign) - wait; silent > seconds(3*w.runs.mean()) {
 			w.setAside("silent", true)
@@ -557,7 +532,7 @@
 	after                 time.Duration // how long a throttled client is to stay away
 	cancels               bool
 	mostForwards, mostOut int
-	part, each            float64 // seconds of a cold worker's capacity that are ours; probes that an invocation pays for
+	part, each            float64 // our seconds of a cold worker's capacity; probes that an invocation pays for
 	ops                   []operation
 	invs                  []inv
 	held                  []int // by rank, highest first
@@ -565,7 +540,7 @@
 	jobs, clones          float64
 	arrivals              samples
 	misfits               [len(lags)]samples
-	refused               map[[3]int][2]time.Duration // worker, operation, tenant: passed over till when, for how long
+	refused               map[[3]int][2]time.Duration // worker, operation, tenant: till when, for how long
 }
 
 func (k *desk) slot() int {
@@ -621,10 +596,10 @@
 			paces = append(paces, c.pace)
 		}
 	}
-	return cmp.Or(paces.middle(), 1)
+	return cmp.Or(paces.at(0.5), 1)
 }
 
-// learn works out how old reports are: at the true lag, free slots plus our own vary least from one to the next.
+// learn works out how old reports are: at the true lag, free slots plus our own vary least between two.
 func (k *desk) learn() {
 	lag, rate := 0, float64(probeFloor)
 	for i, s := range k.misfits {
@@ -645,7 +620,7 @@
 	*j = inv{id: a.Inv, op: a.Operation, tenant: a.Tenant, givenUp: k.now + a.Budget, work: a.Hint,
 		need: need{max(1, a.Slots), a.Memory}, weight: o.weight, tries: j.tries[:0]}
 	if j.work <= 0 {
-		j.work = o.sizes.mean()
+		j.work = cmp.Or(o.sizes.mean(), 1)
 	}
 	// What is left of a later try tells how long its client has waited: the objective counts from the first try.
 	o.most = max(o.most, a.Budget)
@@ -657,8 +632,8 @@
 
 func (k *desk) hold(i int) {
 	j := &k.invs[i]
-	j.size = j.work * (1 + spreadTimes*k.ops[j.op].ratios.deviation())
-	j.rank = j.weight / cmp.Or(j.size, 1)
+	j.size = j.work * (1 + spreadTimes*k.ops[j.op].ratios.spread())
+	j.rank = j.weight / j.size
 	at := slices.IndexFunc(k.held, func(other int) bool { return k.invs[other].rank < j.rank })
 	if at < 0 {
 		at = len(k.held)
@@ -670,8 +645,8 @@
 	k.held = slices.DeleteFunc(k.held, func(other int) bool { return other == i })
 }
 
-// live counts the forwards that are out, and those from which an answer is to be expected. first is the first that
-// may have run: it fixes group and window of what is deduplicated.
+// live counts the forwards that are out, and those with hope of an answer. first is the first that may have
+// run: it fixes group and window of what is deduplicated.
 func (j *inv) live() (out, hoped int, first *tried) {
 	for f := range j.tries {
 		t := &j.tries[f]
@@ -690,13 +665,12 @@
 
 func (k *desk) again(i int) {
 	j := &k.invs[i]
-	out, hoped, _ := j.live()
-	if j.done || hoped > 0 || slices.Contains(k.held, i) {
+	if _, hoped, _ := j.live(); j.done || hoped > 0 || slices.Contains(k.held, i) {
 		return
 	}
 	if k.may(j) && !k.hopeless(j) {
 		k.hold(i)
-	} else if out == 0 {
+	} else {
 		k.giveUp(i)
 	}
 }
@@ -709,13 +683,13 @@
 		o.effect == Deduplicated && k.now < first.sent+o.window)
 }
 
-// slack is how long an invocation may wait, from its first try, before a worker of such a pace is too late with it.
+// slack is how long an invocation may wait, from its first try, before a worker of that pace is too late.
 func (k *desk) slack(j *inv, pace float64) time.Duration {
 	o := &k.ops[j.op]
 	return o.objective + seconds(waitShare*j.work*(hintLow*o.stretch-pace))
 }
 
-// hopeless: it has waited too long for any worker. Not before the plain objective has passed, as paces may be wrong.
+// hopeless: it has waited too long for any worker; not before the plain objective, as paces may be wrong.
 func (k *desk) hopeless(j *inv) bool {
 	o := &k.ops[j.op]
 	most := o.objective
@@ -730,10 +704,13 @@
 func (k *desk) giveUp(i int) {
 	j := &k.invs[i]
 	o := &k.ops[j.op]
-	_, _, first := j.live()
-	if first == nil || o.effect == Idempotent || o.effect == Deduplicated && o.scope == ScopeAll {
+	switch out, _, first := j.live(); {
+	case out > 0: // it may still be answered
+		k.unhold(i)
+		return
+	case first == nil || o.effect == Idempotent || o.effect == Deduplicated && o.scope == ScopeAll:
 		k.do(Throttled{j.id, k.after})
-	} else {
+	default:
 		k.do(Errored{j.id})
 	}
 	k.land(i, -1)
@@ -766,41 +743,35 @@
 	case Succeeded:
 		delete(k.refused, key)
 		o.sizes.add(n.ran.Seconds(), sampleCount)
-		o.ratios.add(n.ran.Seconds()/max(1e-3, j.work), sampleCount)
+		o.ratios.add(n.ran.Seconds()/j.work, sampleCount)
 	case Full:
 		// One that turns a tenant away while its probes show room would draw that tenant's top invocation for ever.
-		span := min(max(2*k.refused[key][1], refusedFirst), asideMost)
+		span := min(max(2*k.refused[key][1], asideFirst/8), asideMost)
 		k.refused[key] = [2]time.Duration{k.now + span, span}
 	}
-	switch out, _, _ := j.live(); {
+	switch {
 	case j.done || e.Closed || e.Result == Succeeded:
 		k.land(n.inv, -1)
 	case k.now < j.givenUp && e.Result != NotSent:
 		k.again(n.inv)
-	case out == 0 && !slices.Contains(k.held, n.inv):
+	default:
 		k.giveUp(n.inv)
 	}
 }
 
 // choose is the design's step: running set, release in rank order, clones from what room is left.
 func (k *desk) choose() {
-	total, above := 0.0, 0.0
-	for _, i := range slices.Clone(k.held) {
-		j := &k.invs[i]
-		if out, _, _ := j.live(); !k.hopeless(j) {
-			total += j.weight
-		} else if out == 0 {
-			k.giveUp(i)
-		} else {
-			k.unhold(i)
-		}
+	total, above, running := 0.0, 0.0, []int{}
+	for _, i := range k.held {
+		total += k.invs[i].weight
 	}
-	var running []int
 	for _, i := range slices.Clone(k.held) {
 		j := &k.invs[i]
 		inSet := above < epsilon*total
 		above += j.weight
-		if at, _ := k.pick(j); at >= 0 {
+		if k.hopeless(j) {
+			k.giveUp(i)
+		} else if at, _ := k.pick(j); at >= 0 {
 			k.send(i, at)
 			if inSet && k.ops[j.op].effect == Idempotent && len(j.tries) == 1 {
 				running = append(running, i)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -31,13 +31,13 @@
 	ScopeCell
 )
 
-// Load is a worker's report on itself. A value below 0 is not reported.
+// Load is a worker's report on itself.
 type Load struct {
 	FreeSlots, FreeMemory, Waiting, InHand, Busy, ServiceTime, Rate, Errors float64
 }
 
-// NoLoad is a report without any value.
-var NoLoad = Load{-1, -1, -1, -1, -1, -1, -1, -1}
+// NoLoad is a report without any value: no word of free slots, and memory is no limit.
+var NoLoad = Load{FreeSlots: -1, FreeMemory: 1e9}
 
 // Deployment is what an instance is told once, at its start.
 type Deployment struct {
