Test the module by decision traces and mend what they showed

Found by writing them: figures were kept as what others had, at a size not known yet; work lost at a restart counted against the worker's return and its cold budget; a suspect was probed at every beat; without any figure of free slots a full answer made one up.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"math"
 	"math/rand"
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -141,7 +142,7 @@
 		progress: dep.Progress, tellsStart: dep.TellsStart, coldFrom: dep.Rules.ColdFrom,
 		warmAfter: dep.Rules.WarmAfter}
 	d.inbox = inbox{house: &d.house, read: d.read}
-	d.desk = desk{inbox: inbox{house: &d.house, read: d.desk.read}, door: d, zone: dep.Zone,
+	d.desk = desk{inbox: inbox{house: &d.house, read: d.desk.read}, door: d, zone: dep.Zone, arrivals: samples{0},
 		cancels: dep.Allowed.Cancel, mostOut: dep.Allowed.MaxOut, mostForwards: max(1, dep.Allowed.MaxForwards),
 		after: min(dep.Allowed.MaxRetryAfter, awaySpan), refused: map[[3]int][2]time.Duration{},
 		each: probePoints / max(dep.ProbePrice, probePoints/4),
@@ -246,35 +247,36 @@
 	inv, fwd int
 	need
 	work, size              float64
+	lost                    bool
 	sent, began, heard, end time.Duration // end: when its slots are free again; 0 while it is out
 }
 
 type card struct {
-	at, zone, kind, cell       int
-	open, trial, known, tested bool    // tested: its pace is its own, and a warm worker's
-	room, size                 need    // size: the most seen free
-	mine, fresh, pace          float64 // how far the last figure holds still; running time over hinted cost
-	warmth, spent              float64 // of a cold worker: the part of its capacity, and our work sent of late
+	at, zone, kind, cell             int
+	open, trial, known, tested, full bool    // tested: its pace is its own, and a warm worker's
+	room, size                       need    // size: the most seen free
+	mine, fresh, pace                float64 // how far the last figure holds still; running time over hinted cost
+	warmth, spent                    float64 // of a cold worker: the part of its capacity, and our work sent of late
 }
 
 // worker is the actor that keeps one worker's book.
 type worker struct {
 	inbox
 	card
-	desk                        *inbox
-	id                          WorkerID
-	standing                    Standing
-	cold, aside, asked          bool
-	startedAt, asideTill        time.Duration
-	lastSign, probeAt, figureAt time.Duration
-	lag, every                  time.Duration // how old a report is when it comes; how often to probe
-	errands                     []errand
-	figures                     []need // what others held at the last few reports, the last at figureAt
-	load                        Load   // the last report as it came
-	fit                         misfit
-	paces, runs                 samples
-	asides, wanted              int // how often it was set aside of late; successes still wanted on trial
-	answers, missed             int // probes in a row with and without an answer
+	desk                                  *inbox
+	id                                    WorkerID
+	standing                              Standing
+	cold, aside                           bool
+	startedAt, asideTill, fullTill        time.Duration
+	lastSign, figureAt, probedAt, probeAt time.Duration
+	lag, every                            time.Duration // how old a report is when it comes; how often to probe
+	errands                               []errand
+	figures                               []need // what was free or ours at the last few reports, the last at figureAt
+	load                                  Load   // the last report as it came
+	fit                                   misfit
+	paces, runs                           samples
+	asides, wanted                        int // how often it was set aside of late; successes still wanted on trial
+	answers, missed                       int // probes in a row with and without an answer
 }
 
 func (w *worker) read(note any) {
@@ -308,7 +310,7 @@
 
 func (w *worker) held(at time.Duration) (n need) {
 	for i := range w.errands {
-		if e := &w.errands[i]; e.sent <= at && (e.end == 0 || at < e.end) {
+		if e := &w.errands[i]; e.sent <= at && (e.end == 0 || at < e.end) && e.sent >= w.startedAt {
 			n = n.plus(1, e.need)
 		}
 	}
@@ -318,21 +320,22 @@
 func (w *worker) tell() {
 	mine := w.held(w.now)
 	w.open, w.trial, w.known = w.standing == Ready && !w.aside, w.wanted > 0, len(w.figures) > 0
+	w.full = w.now < w.fullTill
 	w.mine, w.pace, w.warmth, w.spent = mine.slots, w.paces.at(0.5), 1, 0
 	if n := len(w.figures); n > 0 {
 		// What others hold drifts back to its usual level while a figure ages, and a crowd chases the worker that
 		// looked emptiest: the older the last figure, the more the mean of the last few counts.
 		w.fresh = math.Exp(-max(0, w.now-w.figureAt).Seconds() / max(w.runs.mean(), 0.1))
-		w.room = w.size.plus(-1, mine).plus(-w.fresh, w.figures[n-1])
-		for _, others := range w.figures {
-			w.room = w.room.plus((w.fresh-1)/float64(n), others)
+		w.room = w.figures[n-1].plus(-1, mine).plus(w.fresh-1, w.figures[n-1])
+		for _, f := range w.figures {
+			w.room = w.room.plus((1-w.fresh)/float64(n), f)
 		}
 		w.room.slots = math.Round(w.room.slots)
 	}
 	if age := w.now - w.startedAt; w.cold && age < w.warmAfter {
 		w.warmth = w.coldFrom + (1-w.coldFrom)*max(0, age.Seconds()/w.warmAfter.Seconds())
 		for _, e := range w.errands {
-			if e.sent+w.window > w.now {
+			if e.sent+w.window > w.now && e.sent > w.startedAt {
 				w.spent += e.size
 			}
 		}
@@ -342,13 +345,13 @@
 
 func (w *worker) follow(e Entry) {
 	if w.standing = e.Standing; e.Standing == Gone {
-		w.release()
+		w.release(w.now)
 		return
 	}
 	if e.Restarted && (!w.cold || e.StartedAt > w.startedAt) {
 		w.cold, w.startedAt, w.figures, w.load, w.paces = true, e.StartedAt, nil, Load{}, nil
 		w.aside, w.wanted, w.missed = false, 0, 0
-		w.release()
+		w.release(e.StartedAt)
 	}
 	w.zone, w.kind, w.cell = e.Zone, e.Kind, e.Cell
 }
@@ -361,19 +364,19 @@
 	return &w.errands[at]
 }
 
-func (w *worker) release() {
-	for _, e := range w.errands {
-		if e.end == 0 {
+func (w *worker) release(before time.Duration) {
+	for i := range w.errands {
+		if e := &w.errands[i]; e.end == 0 && !e.lost && e.sent <= before {
+			e.lost = true // told once: after a return new work is to show how the worker does
 			w.desk.put(stuck{e.inv, e.fwd})
 		}
 	}
 }
 
 func (w *worker) answered(a Answer) {
-	w.asked = false
 	switch a.Result {
 	case Succeeded:
-		w.missed, w.answers = 0, w.answers+1
+		w.missed, w.answers, w.fullTill = 0, w.answers+1, 0
 		w.report(a.Load)
 		w.comeBack(w.answers >= asideProbes)
 	case Full: // probes are capped, which tells nothing
@@ -386,9 +389,10 @@
 	}
 }
 
-// report takes a load report in. One that equals the last to the letter is the same figure seen again.
+// report takes a load report in. One that equals the last and comes soon after is the same figure seen again.
 func (w *worker) report(load *Load) {
-	if load == nil || *load == w.load || load.FreeSlots < 0 {
+	same := load != nil && *load == w.load && w.now-w.figureAt < 5*w.lag
+	if load == nil || same || load.FreeSlots < 0 {
 		return
 	}
 	free := need{math.Round(load.FreeSlots - load.Waiting), load.FreeMemory}
@@ -408,8 +412,8 @@
 }
 
 func (w *worker) figure(at time.Duration, free need) {
-	others := w.size.plus(-1, free).plus(-1, w.held(at))
-	w.figures, w.figureAt = append(w.figures, need{max(0, others.slots), max(0, others.memory)}), at
+	open := free.plus(1, w.held(at))
+	w.figures, w.figureAt = append(w.figures, need{min(open.slots, w.size.slots), open.memory}), at
 	w.figures = w.figures[max(0, len(w.figures)-figureCount):]
 }
 
@@ -419,7 +423,7 @@
 		e.end, w.lastSign = w.now, w.now
 		switch o.Result {
 		case Succeeded:
-			n.ran = w.now - cmp.Or(e.began, e.sent)
+			n.ran, w.fullTill = w.now-cmp.Or(e.began, e.sent), 0
 			w.runs.add(n.ran.Seconds(), sampleCount)
 			w.paces.add(n.ran.Seconds()/e.work, sampleCount)
 			w.comeBack(true)
@@ -433,8 +437,10 @@
 			// It may go on: its slots stay counted for as long as it would have run.
 			e.end = max(w.now, e.sent+seconds(e.work*max(0.5, w.paces.at(0.5))))
 		case Full:
-			e.end = e.sent // it held nothing, though it counts as sent to a cold worker
-			w.figure(w.now, need{})
+			e.end, w.fullTill = e.sent, w.now+asideFirst // it counts as sent to a cold worker all the same
+			if w.known {
+				w.figure(w.now, need{})
+			}
 		case Unreachable, NotSent:
 			if e.end, e.size = e.sent, 0; o.Result == Unreachable {
 				w.setAside("can't be reached", true)
@@ -458,7 +464,7 @@
 		w.do(Log{fmt.Sprintf("worker %v is set aside: %s", w.id, why)})
 	}
 	if silent {
-		w.release()
+		w.release(w.now)
 	}
 }
 
@@ -470,7 +476,7 @@
 		e := &w.errands[i]
 		due := e.sent
 		switch {
-		case e.end != 0 || w.aside:
+		case e.end != 0 || e.lost || w.aside:
 			continue
 		case w.tellsStart && e.began == 0:
 			if begin := e.sent + 2*beat; begin <= w.now && w.now < begin+beat {
@@ -481,18 +487,17 @@
 		default:
 			due += seconds(4 * e.work * max(1, w.paces.at(0.5)))
 		}
-		if silent := w.now - max(due, w.lastSign) - wait; silent > seconds(3*w.runs.mean()) {
+		if silent := w.now - max(due, w.lastSign) - wait; silent > seconds(3*cmp.Or(w.runs.mean(), 1)) {
 			w.setAside("silent", true)
 		} else if silent > 0 {
 			suspect = true
 		}
 	}
-	if w.probes && w.standing == Ready && (w.now >= w.probeAt || suspect && !w.asked) {
-		w.probeAt = w.now + w.every/2 + time.Duration(w.rng.Int63n(int64(w.every+1)))
+	if w.probes && w.standing == Ready && (w.now >= w.probeAt || suspect && w.now >= w.probedAt+patience) {
+		w.probedAt, w.probeAt = w.now, w.now+w.every/2+time.Duration(w.rng.Int63n(int64(w.every+1)))
 		if w.aside {
 			w.probeAt = w.now + asideFirst/2
 		}
-		w.asked = true
 		w.do(Probe{w.id})
 	}
 }
@@ -601,15 +606,13 @@
 
 // learn works out how old reports are: at the true lag, free slots plus our own vary least between two.
 func (k *desk) learn() {
-	lag, rate := 0, float64(probeFloor)
+	lag := 0
 	for i, s := range k.misfits {
 		if len(s) >= sampleCount && s.mean() < k.misfits[lag].mean() {
 			lag = i
 		}
 	}
-	if n := len(k.arrivals); n > 1 {
-		rate += k.each * float64(n) / max(0.1, k.now.Seconds()-k.arrivals[0])
-	}
+	rate := probeFloor + k.each*float64(len(k.arrivals))/max(0.1, k.now.Seconds()-k.arrivals[0])
 	for _, w := range k.door.workers {
 		w.put(pooled{lags[lag], seconds(float64(len(k.board)) / rate)})
 	}
@@ -634,10 +637,7 @@
 	j := &k.invs[i]
 	j.size = j.work * (1 + spreadTimes*k.ops[j.op].ratios.spread())
 	j.rank = j.weight / j.size
-	at := slices.IndexFunc(k.held, func(other int) bool { return k.invs[other].rank < j.rank })
-	if at < 0 {
-		at = len(k.held)
-	}
+	at := sort.Search(len(k.held), func(n int) bool { return k.invs[k.held[n]].rank < j.rank })
 	k.held = slices.Insert(k.held, at, i)
 }
 
@@ -828,7 +828,9 @@
 		}
 		has := c.room.slots
 		if known == 0 { // no figure of free slots anywhere: the workers where we have least, up to the mean
-			has = j.slots + math.Floor(mine/pooled-c.mine)
+			if has = j.slots + math.Floor(mine/pooled-c.mine); c.full {
+				has = 0 // nor where the last answer was full
+			}
 		} else if !c.known { // new to the pool: it counts at the mean
 			has = math.Round((room+usual)/known - c.mine)
 		}
--- /dev/null
+++ b/dispatch/trace_test.go
@@ -0,0 +1,358 @@
+package dispatch
+
+import "time"
+
+// One slot is free: the rest is held and leaves by weight over effective size, whatever came first.
+func Example_releaseOrder() {
+	p := start(shop(), ready('a', 0))
+	p.at(10*ms, free('a', 1))
+	p.at(20*ms, job(1, 0, 0.1))
+	p.at(30*ms, job(2, 0, 0.3), job(3, 2, 0.3), job(4, 0, 0.05))
+	p.at(50*ms, p.end(1, 0, Succeeded))
+	p.at(70*ms, p.end(4, 0, Succeeded))
+	p.at(90*ms, p.end(3, 0, Succeeded))
+	// Output:
+	// 20ms 1 to a
+	// 50ms 4 to a
+	// 70ms 3 to a
+	// 90ms 2 to a
+}
+
+// An operation whose running times spread wide has a larger effective size and goes later.
+func Example_spread() {
+	p := start(shop(), ready('a', 0))
+	p.quiet = true
+	for n, ran := range []time.Duration{100 * ms, 20 * ms, 300 * ms, 60 * ms, 500 * ms, 80 * ms, 400 * ms} {
+		p.at(p.now+10*ms, job(InvID(n+1), 0, 0.1), free('a', 1))
+		p.at(p.now+ran, p.end(InvID(n+1), 0, Succeeded))
+	}
+	p.lines = nil
+	p.at(p.now+10*ms, free('a', 0))
+	p.at(p.now+10*ms, job(11, 0, 0.1), job(12, 2, 0.6))
+	p.at(p.now+10*ms, free('a', 1))
+	p.tell("weight 1, hint 0.1, wide (11) against weight 4, hint 0.6 (12)")
+	// Output:
+	// weight 1, hint 0.1, wide (11) against weight 4, hint 0.6 (12): 12 to a
+}
+
+// Clones take room that is left, while their figure holds still, under a fifth of invocations; the loser is cancelled.
+func Example_clones() {
+	p := start(shop(), ready('a', 0), ready('b', 0), ready('c', 0))
+	p.quiet = true
+	for n := InvID(1); n <= 10; n++ {
+		p.at(p.now+10*ms, job(n, 2, 1))
+		p.at(p.now, p.end(n, 0, Succeeded))
+	}
+	p.lines = nil
+	p.at(200*ms, job(11, 0, 0.2))
+	p.tell("no figure yet")
+	p.at(300*ms, free('a', 1), free('b', 2), free('c', 3), job(12, 1, 0.2))
+	p.tell("room, but not idempotent")
+	p.at(310*ms, job(13, 0, 0.2))
+	p.tell("room and idempotent")
+	p.at(320*ms, p.end(13, 1, Succeeded))
+	p.tell("the first answer")
+	p.at(330*ms, free('a', 0), free('b', 0), job(14, 0, 0.2))
+	p.tell("room at a third of the workers")
+	p.at(340*ms, free('a', 4), free('b', 4), free('c', 4), job(15, 0, 0.2))
+	p.tell("the second of fifteen")
+	p.at(350*ms, free('a', 4), free('b', 4), free('c', 4), job(16, 0, 0.2))
+	p.tell("a third would be under a fifth")
+	p.at(360*ms, free('a', 4), free('b', 4), free('c', 4), job(17, 0, 0.2), job(18, 0, 0.2))
+	p.tell("a fourth would not; and only the running set")
+	// Output:
+	// no figure yet: 11 to c
+	// room, but not idempotent: 12 to b
+	// room and idempotent: 13 to c; 13 to b
+	// the first answer: 13 cancels forward 0
+	// room at a third of the workers: 14 to c
+	// the second of fifteen: 15 to a; 15 to b
+	// a third would be under a fifth: 16 to a; 16 to b
+	// a fourth would not; and only the running set: 17 to a; 18 to a
+}
+
+// The pick: most free slots less our sends, own zone among equals; one new to the pool counts at the mean.
+func Example_pick() {
+	p := start(shop(), ready('a', 1), ready('b', 0), ready('c', 1))
+	p.at(10*ms, free('a', 3), free('b', 2), free('c', 1))
+	p.at(20*ms, job(1, 2, 0.2), job(2, 2, 0.2), job(3, 2, 0.2), job(4, 2, 0.2))
+	p.at(30*ms, Listing{Form: ListDelta, Entries: []Entry{ready('d', 1)}})
+	p.at(40*ms, free('a', 3), free('b', 3), free('c', 3))
+	p.at(50*ms, job(5, 2, 0.2), job(6, 2, 0.2))
+	// Output:
+	// 20ms 1 to a
+	// 20ms 2 to b
+	// 20ms 3 to a
+	// 20ms 4 to b
+	// 50ms 5 to c
+	// 50ms 6 to d
+}
+
+// Without any figure of free slots: where we have least, up to the mean, and not where the last answer was full.
+func Example_noFigures() {
+	p := start(shop(), ready('a', 0), ready('b', 0))
+	p.at(10*ms, job(1, 2, 0.2), job(2, 2, 0.2), job(3, 2, 0.2), job(4, 2, 0.2))
+	p.at(20*ms, p.end(1, 0, Full))
+	p.at(30*ms, job(5, 2, 0.2))
+	p.at(40*ms, p.end(3, 0, Succeeded))
+	// Output:
+	// 10ms 1 to b
+	// 10ms 2 to a
+	// 10ms 3 to b
+	// 10ms 4 to a
+	// 40ms 1 to b
+	// 40ms 5 to b
+}
+
+// A single young figure can't outweigh the last few once it has aged; a start that does not come ends all doubt.
+func Example_lateFigures() {
+	dep := shop()
+	dep.TellsStart = true
+	p := start(dep, ready('a', 0), ready('b', 1))
+	p.quiet = true
+	for range 7 {
+		p.at(p.now+200*ms, free('a', 1), free('b', 2))
+	}
+	p.at(1500*ms, free('a', 3), job(1, 2, 0.1))
+	p.tell("a has 3 free now, 1 as a rule, b 2")
+	p.at(1510*ms, Sign{Inv: 1, Worker: id('a'), Started: true}, p.end(1, 0, Succeeded))
+	p.at(2800*ms, job(2, 2, 0.1))
+	p.tell("the same figure 1.3 s later")
+	p.until(2860 * ms)
+	p.at(2870*ms, free('a', 0), job(3, 2, 0.1))
+	p.tell("b had room, but 2 has not started there")
+	// Output:
+	// a has 3 free now, 1 as a rule, b 2: 1 to a
+	// the same figure 1.3 s later: 2 to b
+	// b had room, but 2 has not started there: nothing
+}
+
+// What may have run goes out again only as its effect class allows; what has not run always may.
+func Example_effects() {
+	for op, name := range []string{"idempotent", "deduplicated by zone", "non-idempotent"} {
+		for r, what := range []string{"", "failed", "full", "timed out", "unreachable", "broken off", "cancelled"} {
+			if r == 0 {
+				continue
+			}
+			p := start(shop(), ready('a', 1), ready('b', 2), ready('c', 1))
+			p.quiet = true
+			p.at(10*ms, free('a', 4), free('b', 3), free('c', 2))
+			p.at(20*ms, job(1, op, 0.2))
+			p.at(120*ms, p.end(1, 0, Result(r)))
+			p.tell(name + ", " + what)
+		}
+	}
+	// Output:
+	// idempotent, failed: 1 to a; worker a is set aside: fails what it gets; 1 to b
+	// idempotent, full: 1 to a; 1 to b
+	// idempotent, timed out: 1 to a; 1 to b
+	// idempotent, unreachable: 1 to a; worker a is set aside: can't be reached; 1 to b
+	// idempotent, broken off: 1 to a; worker a is set aside: fails what it gets; 1 to b
+	// idempotent, cancelled: 1 to a; 1 to b
+	// deduplicated by zone, failed: 1 to a; worker a is set aside: fails what it gets; 1 to c
+	// deduplicated by zone, full: 1 to a; 1 to b
+	// deduplicated by zone, timed out: 1 to a; 1 to c
+	// deduplicated by zone, unreachable: 1 to a; worker a is set aside: can't be reached; 1 to b
+	// deduplicated by zone, broken off: 1 to a; worker a is set aside: fails what it gets; 1 to c
+	// deduplicated by zone, cancelled: 1 to a; 1 to c
+	// non-idempotent, failed: 1 to a; worker a is set aside: fails what it gets; 1 errored
+	// non-idempotent, full: 1 to a; 1 to b
+	// non-idempotent, timed out: 1 to a; 1 errored
+	// non-idempotent, unreachable: 1 to a; worker a is set aside: can't be reached; 1 to b
+	// non-idempotent, broken off: 1 to a; worker a is set aside: fails what it gets; 1 errored
+	// non-idempotent, cancelled: 1 to a; 1 errored
+}
+
+// A drain is kept from the moment it is told; what the worker hands back goes elsewhere.
+func Example_drain() {
+	p := start(shop(), ready('a', 0), ready('b', 0))
+	p.at(10*ms, free('a', 4), free('b', 1), job(1, 2, 0.2))
+	drains := ready('a', 0)
+	drains.Standing = Draining
+	p.at(20*ms, Listing{Form: ListDelta, Entries: []Entry{drains}}, job(2, 2, 0.2), job(3, 2, 0.2))
+	p.at(30*ms, p.end(1, 0, Full))
+	p.at(40*ms, p.end(2, 0, Succeeded))
+	p.at(100*ms, Listing{Form: ListWhole, Entries: []Entry{ready('a', 0)}})
+	// Output:
+	// 10ms 1 to a
+	// 20ms 2 to b
+	// 40ms 3 to b
+	// 100ms 1 to a
+}
+
+// A worker that has just started gets our part of what it can do now, and one heavy invocation can be too much.
+func Example_coldStart() {
+	dep := shop()
+	dep.Peers = 2
+	p := start(dep, ready('a', 0))
+	p.at(10*ms, free('a', 4), job(1, 2, 0.4))
+	p.at(410*ms, p.end(1, 0, Succeeded))
+	cold := ready('a', 0)
+	cold.Restarted, cold.StartedAt = true, 400*ms
+	p.at(500*ms, Listing{Form: ListDelta, Entries: []Entry{cold}})
+	p.at(510*ms, free('a', 4), job(2, 2, 0.5), job(3, 2, 0.2), job(4, 2, 0.3))
+	p.at(700*ms, p.end(3, 0, Succeeded))
+	p.at(16*time.Second, free('a', 4), job(5, 2, 0.5))
+	// Output:
+	// 10ms 1 to a
+	// 510ms 3 to a
+	// 16s 4 throttled, back after 1s
+	// 16s 2 throttled, back after 1s
+	// 16s 5 to a
+}
+
+// A worker that fails what it gets is set aside, comes back after answered probes, and gets one at a time at first.
+func Example_setAside() {
+	p := start(shop(), ready('a', 0))
+	p.at(10*ms, free('a', 4), job(1, 2, 0.2))
+	p.at(20*ms, p.end(1, 0, Failed))
+	p.at(300*ms, free('a', 4), job(2, 2, 0.3), job(3, 1, 0.3), job(4, 0, 0.3))
+	p.at(400*ms, free('a', 4))
+	p.at(530*ms, free('a', 4))
+	p.at(550*ms, p.end(3, 0, Succeeded))
+	p.at(570*ms, p.end(4, 0, Failed))
+	// Output:
+	// 10ms 1 to a
+	// 20ms worker a is set aside: fails what it gets
+	// 20ms 1 errored
+	// 530ms worker a is back, on trial
+	// 530ms 3 to a
+	// 550ms 4 to a
+	// 570ms worker a is set aside: fails what it gets
+}
+
+// A hung worker that still answers probes: suspicion asks, then silence beyond what waiting explains decides. What sits
+// there goes elsewhere, and when it comes back after probes, new work is to show how it does.
+func Example_hang() {
+	dep := shop()
+	dep.Progress = 500 * ms
+	p := start(dep, ready('a', 0), ready('b', 1))
+	p.at(10*ms, free('a', 2), free('b', 2), job(1, 0, 0.5), job(2, 2, 0.5))
+	for range 10 {
+		p.until(p.now + 480*ms)
+		p.at(p.now+20*ms, Sign{Inv: 2, Worker: id('a'), Done: 0.1}, free('b', 2))
+	}
+	p.at(p.now+10*ms, free('a', 0), job(3, 1, 0.2), job(4, 1, 0.2))
+	// Output:
+	// 10ms 2 to a
+	// 10ms 1 to b
+	// 3.83s worker b is set aside: silent
+	// 4.51s worker b is back, on trial
+}
+
+// Probes that go unanswered from a worker without another sign of life.
+func Example_vanished() {
+	p := start(shop(), ready('a', 0), ready('b', 1))
+	p.at(10*ms, free('a', 2), free('b', 2), job(1, 0, 0.3), job(2, 2, 0.3))
+	p.at(200*ms, Answer{Worker: id('a'), Result: TimedOut, Took: 150 * ms})
+	p.at(210*ms, p.end(1, 0, Succeeded))
+	// Output:
+	// 10ms 2 to a
+	// 10ms 1 to b
+	// 200ms worker a is set aside: probes go unanswered
+}
+
+// One that turns a tenant's operation away while its probes show room keeps its place for all else.
+func Example_refusedTenant() {
+	p := start(shop(), ready('a', 0), ready('b', 1))
+	p.at(10*ms, free('a', 4), free('b', 4), job(1, 0, 0.2))
+	p.at(20*ms, p.end(1, 0, Full))
+	p.at(30*ms, free('a', 4), free('b', 3), job(2, 0, 0.2))
+	p.at(40*ms, free('a', 4), free('b', 2), job(3, 2, 0.2))
+	p.at(100*ms, free('a', 4), free('b', 2), job(4, 0, 0.2))
+	// Output:
+	// 10ms 1 to a
+	// 20ms 1 to b
+	// 30ms 2 to b
+	// 40ms 3 to a
+	// 100ms 4 to a
+}
+
+// What can't be in time any more is answered at once, what is out is waited for till the client timeout, and a client
+// that left is let go.
+func Example_finalAnswers() {
+	p := start(shop(), ready('a', 0))
+	p.at(10*ms, free('a', 1), job(1, 2, 5))
+	p.at(20*ms, free('a', 0), job(2, 0, 0.1), job(3, 0, 1))
+	p.until(1200 * ms)
+	p.at(1210*ms, Withdrawn{Inv: 1})
+	p.at(1220*ms, p.end(1, 0, Cancelled))
+	p.at(9*time.Second, free('a', 1), job(5, 1, 8))
+	p.at(14*time.Second, p.end(5, 0, TimedOut))
+	p.at(15*time.Second, p.end(5, 0, TimedOut), Withdrawn{Inv: 5}, Outcome{Inv: 99, Worker: id('z')})
+	// Output:
+	// 10ms 1 to a
+	// 420ms 2 throttled, back after 1s
+	// 1.21s 1 cancels forward 0
+	// 1.22s 3 throttled, back after 1s
+	// 9s 5 to a
+	// 14s 5 errored
+}
+
+// A client's later try has less budget left, and its objective counts from the first.
+func Example_laterTry() {
+	p := start(shop(), ready('a', 0))
+	p.at(10*ms, free('a', 0), job(1, 0, 0.1))
+	again := job(2, 0, 0.1)
+	again.Budget -= 200 * ms
+	p.at(20*ms, again)
+	p.until(600 * ms)
+	// Output:
+	// 220ms 2 throttled, back after 1s
+	// 420ms 1 throttled, back after 1s
+}
+
+// The list is asked for again after a failure, sooner than we would count as told, and not in step with others.
+func Example_list() {
+	dep := shop()
+	dep.Pushed = false
+	p := start(dep, ready('a', 0))
+	p.at(20*ms, Listing{Form: ListFailed})
+	p.until(500 * ms)
+	p.at(510*ms, Listing{Form: ListFailed})
+	p.until(1500 * ms)
+	p.at(1510*ms, Listing{Form: ListDelta, Entries: []Entry{ready('b', 0)}})
+	p.until(9 * time.Second)
+	// Output:
+	// 0s asks for the list
+	// 20ms list call failed or subscription lost, asking again at 227.153551ms
+	// 240ms asks for the list
+	// 510ms list call failed or subscription lost, asking again at 1.023669287s
+	// 1.03s asks for the list
+}
+
+// A streamed answer that has begun belongs to the client: the other copy is cancelled and nothing more is sent.
+func Example_streaming() {
+	p := start(shop(), ready('a', 0), ready('b', 1))
+	p.at(10*ms, free('a', 2), free('b', 2), job(1, 0, 0.3))
+	p.at(100*ms, Answer{Worker: id('a'), Result: TimedOut, Took: 80 * ms})
+	p.at(120*ms, Streaming{Inv: 1, Forward: 1})
+	p.at(200*ms, p.end(1, 0, Cancelled))
+	p.at(300*ms, Outcome{Inv: 1, Forward: 1, Worker: id('b'), Result: Broken, Closed: true})
+	// Output:
+	// 10ms 1 to a
+	// 100ms worker a is set aside: probes go unanswered
+	// 100ms 1 to b
+	// 120ms 1 cancels forward 0
+	// 300ms worker b is set aside: fails what it gets
+}
+
+// Two slots, memory, a required kind, and a tenant's own operation are minded.
+func Example_needs() {
+	dep := shop()
+	dep.Operations[0].Kind = 1
+	b := ready('b', 0)
+	b.Kind = 1
+	p := start(dep, ready('a', 0), b)
+	full, half := free('a', 2), free('b', 1)
+	full.Load.FreeMemory, half.Load.FreeMemory = 0.5, 2
+	wide, hungry := job(1, 2, 0.1), job(2, 2, 0.1)
+	wide.Slots, hungry.Memory = 2, 1
+	p.at(10*ms, full, half, job(3, 0, 0.2))
+	p.at(20*ms, wide, hungry)
+	p.at(30*ms, p.end(3, 0, Succeeded))
+	// Output:
+	// 10ms 3 to b
+	// 20ms 1 to a
+	// 30ms 2 to b
+}
