--- /dev/null
+++ b/cmd/drill/main_test.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"math"
+	"strings"
+	"testing"
+)
+
+// frame packs records given as hex into one batch.
+func frame(t *testing.T, clock float64, records ...string) []byte {
+	t.Helper()
+	var body []byte
+	for _, r := range records {
+		b, err := hex.DecodeString(strings.ReplaceAll(r, " ", ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		body = append(body, b...)
+	}
+	out := binary.LittleEndian.AppendUint32(nil, uint32(len(body)+12))
+	out = binary.LittleEndian.AppendUint32(out, uint32(len(records)))
+	out = binary.LittleEndian.AppendUint64(out, math.Float64bits(clock))
+	return append(out, body...)
+}
+
+func up(instance, settings string) string {
+	size := binary.LittleEndian.AppendUint32(nil, uint32(len(settings)))
+	return "01" + instance + "0700000000000000" + hex.EncodeToString(size) + hex.EncodeToString([]byte(settings))
+}
+
+const (
+	settings = `{"Discovery": "push", "PeersTotal": 1, "Operations": [{"Effect": "read_like", "LatencyObjective": 1}]}`
+	list     = "0100000000000000 01 01000000 0a124a07 8b13 00 00 0000 01 0000803f 0000000000000000"
+	arrival  = "0900000000000000 0000 0000 0000000000000000 0000000000001440 0000000000000000 0000803f 00000000 0000"
+)
+
+func TestInstancesKeepToThemselves(t *testing.T) {
+	var in, out bytes.Buffer
+	in.Write(frame(t, 5))
+	in.Write(frame(t, 6, up("01000000", settings), "02 01000000"+list, up("02000000", settings)))
+	in.Write(frame(t, 7, "03 02000000"+arrival, "03 01000000"+arrival))
+	in.Write(frame(t, 8, "0a 01000000", "07 01000000 0000000000000000"))
+	if err := play(&in, &out); err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for out.Len() > 0 {
+		size := binary.LittleEndian.Uint32(out.Next(4))
+		got = append(got, hex.EncodeToString(out.Next(int(size))))
+	}
+	want := []string{
+		"00000000", // nothing was asked
+		// instance 1 wakes, instance 2 too; neither knows more than it was told
+		"02000000" + "050100000014ae47e17a1418400000000000000000" + "050200000014ae47e17a1418400000000000000000",
+		// 2 holds what it knows no worker for, 1 sends it to the one it knows; in the order of their events
+		"03000000" + "050200000014ae47e17a141c400000000000000000" + "050100000014ae47e17a141c400000000000000000" +
+			"0101000000090000000000000000000000000000000a124a078b13",
+		"00000000", // stopped: the wake-up is nobody's
+	}
+	if len(got) != len(want) {
+		t.Fatalf("%d replies, want %d", len(got), len(want))
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("reply %d:\n got %s\nwant %s", i, got[i], want[i])
+		}
+	}
+}
+
+func TestBadInputEndsInOneMessage(t *testing.T) {
+	for name, input := range map[string][]byte{
+		"settings that are no JSON": frame(t, 5, up("01000000", "{")),
+		"an unknown event":          frame(t, 5, "63 01000000"),
+		"a frame cut short":         frame(t, 5, "07 01000000 0000000000000000")[:20],
+	} {
+		if err := play(bytes.NewReader(input), &bytes.Buffer{}); err == nil {
+			t.Errorf("%s was taken without a word", name)
+		}
+	}
+}
+
+// A panic of the decisions ends the day in plain words on the wire, not the adapter.
+func TestPanicIsToldOnTheWire(t *testing.T) {
+	var out bytes.Buffer
+	input := frame(t, 5, up("01000000", `{"PeersTotal": 1}`), "03 01000000"+arrival)
+	if err := play(bytes.NewReader(input), &out); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Contains(out.Bytes(), []byte("the decisions panicked: ")) || out.Bytes()[8] != 10 {
+		t.Errorf("no word of the panic in %q", out.Bytes())
+	}
+}
--- a/dispatch/play_test.go
+++ b/dispatch/play_test.go
@@ -99,7 +99,7 @@
 // shop is a deployment with one operation of each effect class, the weights 1, 2 and 4.
 func shop() Deployment {
 	op := func(weight float64, effect Effect, scope Scope) Operation {
-		return Operation{BilledValue: weight, LatencyObjective: 300 * ms, Stretch: 2, ClientTimeout: 5 * time.Second,
+		return Operation{BilledValue: weight, LatencyObjective: 300 * ms, Stretch: 2,
 			Effect: effect, Scope: scope, DedupWindow: 2 * time.Second, Kind: -1}
 	}
 	return Deployment{
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -59,12 +59,10 @@
 	BilledValue, LateValue float64
 	LatencyObjective       time.Duration
 	Stretch                float64 // the objective grows by this multiple of an invocation's own work
-	ClientTimeout          time.Duration
 	Effect                 Effect
 	Scope                  Scope
 	DedupWindow            time.Duration
 	Kind                   int // the one kind of worker that runs it, or -1
-	Streaming, ByPriority  bool
 }
 
 // Tenant is one customer's share of the service.
--- /dev/null
+++ b/internal/simwire/simwire_test.go
@@ -0,0 +1,156 @@
+package simwire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"stoatweir/dispatch"
+)
+
+func unhex(text string) []byte {
+	b, err := hex.DecodeString(strings.Join(strings.Fields(text), ""))
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// read prints the events of a frame, as the decisions get them.
+func read(frame string) {
+	batch, err := ReadBatch(bytes.NewReader(unhex(frame)))
+	if err != nil {
+		fmt.Println("error:", err)
+		return
+	}
+	dialect := Dialect{Base: Base(batch.Clock), Report: []string{"free slots", "waiting"}}
+	for records := Open(batch); ; {
+		scheduler, event, more, err := records.Next(func(uint32) Dialect { return dialect })
+		if err != nil {
+			fmt.Println("error:", err)
+			return
+		}
+		if !more {
+			return
+		}
+		if a, is := event.(dispatch.Answer); is && a.Load != nil {
+			fmt.Printf("%d load %+v\n", scheduler, *a.Load)
+			a.Load = nil
+			event = a
+		}
+		fmt.Printf("%d %T%+v\n", scheduler, event, event)
+	}
+}
+
+// The worked examples of the wire note, byte for byte.
+func Example_events() {
+	read("0c000000 00000000 508d976e12d32040")
+	read(`59000000 03000000 508d976e12d32040
+		03 03000000 c4913a5dfc7e0400 0000 0000 640ad2557c3bf091 b81e85eb51b8ce3f fa7e6abc7493883f 00000040 00000000 0100
+		07 03000000 4d00000000000000
+		06 05000000 192b6f0e4f080400`)
+	read(`4c000000 01000000 508d976e12d32040
+		02 03000000 2900000000000000 01 02000000
+		0a124a07 8b13 00 00 0000 01 0000803f 0000000000000000
+		0a9011f2 b413 01 00 0000 01 0000c03f 6666666666661840`)
+	read("2d000000 01000000 508d976e12d32040 05 03000000 c4913a5dfc7e0400 00 6400 8b6ce7fba9f1923f 00 01 0a124a07 8b13 00")
+	read("2a000000 01000000 0000000000000000 08 01000000 0a124a07 8b13 6400 fca9f1d24d62503f 02 00004040 00008040")
+	// Output:
+	// 3 dispatch.Arrival{Inv:1265522267820484 Operation:0 Tenant:0 Budget:240ms Hint:0.012 Slots:2 Memory:0}
+	// 3 dispatch.Due{}
+	// 5 dispatch.Withdrawn{Inv:1135035544447769}
+	// 3 dispatch.Listing{Form:2 Entries:[{Worker:10.18.74.7:5003 Zone:0 Kind:0 Cell:0 Standing:1 Restarted:false StartedAt:0s} {Worker:10.144.17.242:5044 Zone:1 Kind:0 Cell:0 Standing:1 Restarted:true StartedAt:-2.31225s}]}
+	// 3 dispatch.Outcome{Inv:1265522267820484 Worker:10.18.74.7:5003 Forward:0 Result:0 Closed:true Load:<nil>}
+	// 1 load {FreeSlots:3 FreeMemory:1e+09 Waiting:4 InHand:0 Busy:0 ServiceTime:0 Rate:0 Errors:0}
+	// 1 dispatch.Answer{Worker:10.18.74.7:5003 Result:0 Took:1ms Load:<nil>}
+}
+
+func Example_actions() {
+	var r Reply
+	fmt.Println(hex.EncodeToString(r.Bytes()))
+	r.Reset()
+	worker := netip.AddrPortFrom(netip.AddrFrom4([4]byte{0x0a, 0x12, 0x4a, 0x07}), 0x138b)
+	r.Action(3, 0, dispatch.Forward{Inv: 0x47efc5d3a91c4, Worker: worker})
+	r.Action(3, 8, dispatch.Wake{At: 500 * time.Millisecond})
+	r.Action(3, 0, dispatch.Log{Text: "two workers known"})
+	b := r.Bytes()
+	for _, cut := range []int{8, 27, 21} {
+		fmt.Println(hex.EncodeToString(b[:cut]))
+		b = b[cut:]
+	}
+	fmt.Println(hex.EncodeToString(b))
+	// Output:
+	// 0400000000000000
+	// 4c00000003000000
+	// 0103000000c4913a5dfc7e040000000000000000000a124a078b13
+	// 050300000000000000000021400000000000000000
+	// 0903000000110074776f20776f726b657273206b6e6f776e
+}
+
+// What can't be read gives one plain message and no guess.
+func Example_malformed() {
+	read("0c00")
+	read("04000000 00000000")
+	read("ffffffff 00000000")
+	read("20000000 00000000 508d976e12d32040")
+	read("0c000000 01000000 508d976e12d32040")
+	read("11000000 01000000 508d976e12d32040 63 00000000")
+	read("12000000 00000000 508d976e12d32040 07 00000000 00")
+	read("15000000 01000000 508d976e12d32040 07 00000000 00000000")
+	read("1e000000 01000000 508d976e12d32040 02 00000000 0000000000000000 01 ffffff7f")
+	read("20000000 01000000 508d976e12d32040 01 00000000 0000000000000000 03000000 7b7d7d")
+	// Output:
+	// error: frame cut short in its length field
+	// error: frame of 4 bytes is too short for its header
+	// error: frame of 4294967295 bytes is over the limit of 268435456
+	// error: frame cut short: 12 of 32 bytes
+	// error: event code 0: record cut short: 1 bytes wanted, 0 left
+	// error: event code 99: unknown event code
+	// error: 6 bytes are left over after the last record
+	// error: event code 7: record cut short: 8 bytes wanted, 4 left
+	// error: event code 2: list of 2147483647 entries does not fit in 0 bytes
+	// error: event code 1: settings: invalid character '}' after top-level value
+}
+
+const settings = `{"Discovery": "push", "MyZone": 2, "PeersTotal": 3, "Unheard": {"of": [1]},
+	"Operations": [
+		{"BilledValue": 3, "ClientTimeout": 5, "LatencyObjective": 0.25, "Effect": "read_like", "AimStretch": 1.5},
+		{"Effect": "idempotency_key", "DedupScope": "cell", "DedupWindow": 7.5},
+		{"Effect": "non_idempotent", "DedupScope": "all", "LateBilledValue": 0.5}],
+	"FamilyInfo": {"ClassKind": [-1, 2], "ClassStretch": [2], "ReportX0": "free slots", "ReportX1": "heat"},
+	"Limits": {"Cancel": true, "Probes": true, "MostForwards": 4, "RetryAfter": false, "MaxRetryAfter": 2},
+	"Report": {"How": "probe", "Names": ["x0", "x1", "waiting"]}, "Rules": {"AskWithin": 10},
+	"Tenants": [{"QuotaPerS": 5, "Fraction": 0.4}]}`
+
+func Example_settings() {
+	d, report, err := ParseInfo([]byte(settings))
+	fmt.Println(report, err, d.Pushed, d.Zone, d.Peers, d.ExcessValue, d.Allowed, d.Rules.AskWithin, d.Tenants)
+	for _, o := range d.Operations {
+		fmt.Printf("%+v\n", o)
+	}
+	for _, bad := range []string{"{", `{"Operations": [{"Effect": "strange"}]}`,
+		`{"Operations": [{"Effect": "read_like", "DedupScope": "hall"}]}`, `{"PeersTotal": "three"}`} {
+		_, _, err := ParseInfo([]byte(bad))
+		fmt.Println(err)
+	}
+	// Output:
+	// [free slots heat waiting] <nil> true 2 3 1 {true true 4 1 0s} 10s [{5 0.4}]
+	// {BilledValue:3 LateValue:0 LatencyObjective:250ms Stretch:2 Effect:0 Scope:0 DedupWindow:0s Kind:-1}
+	// {BilledValue:0 LateValue:0 LatencyObjective:0s Stretch:0 Effect:1 Scope:2 DedupWindow:7.5s Kind:2}
+	// {BilledValue:0 LateValue:0.5 LatencyObjective:0s Stretch:0 Effect:2 Scope:0 DedupWindow:0s Kind:-1}
+	// settings: unexpected end of JSON input
+	// settings: unknown effect "strange"
+	// settings: unknown scope "hall"
+	// settings: json: cannot unmarshal string into Go struct field info.PeersTotal of type int
+}
+
+func TestEndOfInput(t *testing.T) {
+	if _, err := ReadBatch(strings.NewReader("")); err != io.EOF {
+		t.Errorf("clean end of input: %v, want io.EOF", err)
+	}
+}
--- a/internal/simwire/words.go
+++ b/internal/simwire/words.go
@@ -294,11 +294,9 @@
 	ExcessBilledValue *float64
 	MyZone            int
 	PeersTotal        int
-	Progress          float64
 	Operations        []struct {
-		BilledValue, ClientTimeout, DedupWindow, LateBilledValue, LatencyObjective, AimStretch float64
-		DedupScope, Effect                                                                     string
-		Streaming                                                                              bool
+		BilledValue, DedupWindow, LateBilledValue, LatencyObjective, AimStretch float64
+		DedupScope, Effect                                                      string
 	}
 	FamilyInfo struct {
 		ClassKind          []int
@@ -363,8 +361,8 @@
 	for i, o := range in.Operations {
 		op := dispatch.Operation{
 			BilledValue: o.BilledValue, LateValue: o.LateBilledValue, LatencyObjective: span(o.LatencyObjective),
-			Stretch: o.AimStretch, ClientTimeout: span(o.ClientTimeout), DedupWindow: span(o.DedupWindow),
-			Streaming: o.Streaming, Kind: -1,
+			Stretch: o.AimStretch, DedupWindow: span(o.DedupWindow),
+			Kind: -1,
 		}
 		var known bool
 		if op.Effect, known = effects[o.Effect]; !known {
