--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -110,9 +110,9 @@
 	tick   struct{} // the beat
 	choose struct{} // all that has happened at this moment is in
 	about  struct { // door to desk or worker, and on from a worker to the desk with the running time
-		inv         int
-		event       Event
-		ran, waited time.Duration
+		inv   int
+		event Event
+		ran   time.Duration
 	}
 	freed  struct{ id InvID }                 // desk to door: nothing more will be heard of it
 	sent   struct{ errand }                   // desk to worker
@@ -424,9 +424,6 @@
 		switch o.Result {
 		case Succeeded:
 			n.ran, w.fullTill = w.now-cmp.Or(e.began, e.sent), 0
-			if n.waited = w.now - e.sent - n.ran; e.began == 0 {
-				n.waited = n.ran - seconds(e.work*w.paces.at(0.5))
-			}
 			w.runs.add(n.ran.Seconds(), sampleCount)
 			w.paces.add(n.ran.Seconds()/e.work, sampleCount)
 			w.comeBack(true)
@@ -546,8 +543,7 @@
 	held                  []int // by rank, highest first
 	board                 []card
 	jobs, clones          float64
-	arrivals, waits       samples
-	waitAt                time.Duration
+	arrivals              samples
 	misfits               [len(lags)]samples
 	refused               map[[3]int][2]time.Duration // worker, operation, tenant: till when, for how long
 }
@@ -702,15 +698,7 @@
 			most = max(most, k.slack(j, c.pace))
 		}
 	}
-	return k.now+2*beat >= j.givenUp || !o.late && k.now-j.first+k.wait() > most
-}
-
-func (k *desk) wait() time.Duration {
-	w := seconds(max(0, k.waits.at(0.5)))
-	if k.now-k.waitAt > w {
-		return 0
-	}
-	return w
+	return k.now+2*beat >= j.givenUp || !o.late && k.now-j.first > most
 }
 
 func (k *desk) giveUp(i int) {
@@ -755,8 +743,6 @@
 	case Succeeded:
 		delete(k.refused, key)
 		o.sizes.add(n.ran.Seconds(), sampleCount)
-		k.waits.add(n.waited.Seconds(), sampleCount)
-		k.waitAt = k.now
 		o.ratios.add(n.ran.Seconds()/j.work, sampleCount)
 	case Full:
 		// One that turns a tenant away while its probes show room would draw that tenant's top invocation for ever.
@@ -851,7 +837,7 @@
 		if c.trial {
 			has = min(has, 1-c.mine)
 		}
-		inTime := k.ops[j.op].late || k.now-j.first+k.wait() <= k.slack(j, c.pace)
+		inTime := k.ops[j.op].late || k.now-j.first <= k.slack(j, c.pace)
 		if inTime && !timely {
 			best, timely = -1, true // better held for one that can do it in time than sent to one that can't
 		}
