--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -521,13 +521,13 @@
 
 type inv struct {
 	need
-	id               InvID
-	op, tenant       int
-	first, givenUp   time.Duration // its first try came, its client timeout
-	cost, work, size float64       // hinted cost, effective size
-	weight, rank     float64
-	done, over       bool // answered; nothing more will be heard of it
-	tries            []tried
+	id             InvID
+	op, tenant     int
+	first, givenUp time.Duration // its first try came, its client timeout
+	work, size     float64       // hinted cost, effective size
+	weight, rank   float64
+	done, over     bool // answered; nothing more will be heard of it
+	tries          []tried
 }
 
 type desk struct {
@@ -636,7 +636,6 @@
 func (k *desk) hold(i int) {
 	j := &k.invs[i]
 	j.size = j.work * (1 + spreadTimes*k.ops[j.op].ratios.spread())
-	j.cost = j.work * (1 + k.ops[j.op].ratios.spread())
 	j.rank = j.weight / j.size
 	at := sort.Search(len(k.held), func(n int) bool { return k.invs[k.held[n]].rank < j.rank })
 	k.held = slices.Insert(k.held, at, i)
@@ -799,8 +798,8 @@
 	j.tries = append(j.tries, tried{at: at, sent: k.now, out: true})
 	k.do(Forward{j.id, k.door.workers[at].id})
 	c.room = c.room.plus(-1, j.need)
-	c.mine, c.spent = c.mine+j.slots, c.spent+j.cost
-	k.door.workers[at].put(sent{errand{inv: i, fwd: len(j.tries) - 1, need: j.need, work: j.work, size: j.cost,
+	c.mine, c.spent = c.mine+j.slots, c.spent+j.size
+	k.door.workers[at].put(sent{errand{inv: i, fwd: len(j.tries) - 1, need: j.need, work: j.work, size: j.size,
 		sent: k.now}})
 }
 
@@ -868,5 +867,5 @@
 			return false
 		}
 	}
-	return c.warmth == 1 || c.spent+j.cost <= k.part*max(1, c.size.slots)/c.pace
+	return c.warmth == 1 || c.spent+j.size <= k.part*max(1, c.size.slots)/c.pace
 }
