Pool few workers by turns, learn how often reports are made, draw lots for cold workers

Change: workers are met one by one; the pool is those asked last, in an order of each instance's own, and grows when all are busy; probes are spent when an invocation comes; the span between reports is learned from answers in a row in place of the lag from our own sends, which argues for too young a figure where others' traffic is most of it; few figures of a worker are drawn towards the pool's middle; a full worker may be silent for as long as its queue explains; lots, three deviations under the budget, let few schedulers use a cold worker.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -2,13 +2,13 @@
 // the start, then Handle with all events of one moment, and carry the actions out in order. All decisions are
 // in this file; the interface (events, actions, what a deployment tells) is in types.go.
 //
-// The design, SRPTMS+C, decides the ordinary path: hold, rank, running set, release, clones, pick. Beside it
-// stand six mechanisms:
+// The design, SRPTMS+C, decides the ordinary path: hold, rank, running set, release, clones, pool, pick. Beside
+// it stand six mechanisms:
 //  1. set-aside and trial: a worker, whole or for one tenant's operation, is judged by our own outcomes too.
 //  2. stuck work: a further forward for what sits where no answer in time is to be expected.
 //  3. pace: a worker's running time for each unit of work; a slow one gets only what it can do in time.
-//  4. late figures: how old reports are is learned, and old ones count for less.
-//  5. cold budget: our part of the work that a worker which has just started can take.
+//  4. late figures: how often reports are made is learned, and old ones count for less.
+//  5. cold budget: our part of the work that a worker which has just started can take, or our chance of one.
 //  6. giving up: what can't meet its latency objective any more is answered at once.
 package dispatch
 
@@ -23,130 +23,48 @@
 )
 
 const (
-	epsilon     = 0.6                    // the running set's part of held weight
-	spreadTimes = 3                      // r of the effective size
-	cloneShare  = 0.2                    // clones stay under this part of invocations
-	beat        = 20 * time.Millisecond  // how often time alone may change a decision
-	sampleCount = 16                     // measurements are the last few samples
-	lagSamples  = 64                     // more of them, as others' traffic blurs each
-	figureCount = 8                      // reports of a worker that others' load there is worked out from
-	probeFloor  = 3                      // random workers probed each second, whatever the traffic
-	probePoints = 0.002                  // points of the result that probes above the floor may cost
-	asideFirst  = 500 * time.Millisecond // how long a worker is set aside at least; each next time doubles it
-	asideMost   = 8 * time.Second
-	asideProbes = 2                      // answered probes before a worker comes back
-	trialRuns   = 3                      // successes, one at a time, before it counts in full again
-	awaySpan    = time.Second            // what a throttled client is told to wait
-	patience    = 300 * time.Millisecond // for a sign that is due
-	hintLow     = 1.4                    // how far work lies over hinted cost in the middle, as hints are rough
-	waitShare   = 0.5                    // of the slack that own work gives, what waiting may use
-	sureFresh   = 0.6                    // how far a figure must hold still for a clone
+	epsilon, spreadTimes, cloneShare = 0.6, 3, 0.2 // the design's: the running set's part, r, a limit on clones
+
+	beat        = 20 * time.Millisecond // how often time alone may change a decision
+	sampleCount = 16                    // measurements are the last few samples
+
+	few, reach             = 16, 8 * time.Second // workers a pool starts with; it holds what probes go round in this
+	probeFloor             = 3                   // random workers probed each second, whatever the traffic
+	probePoints            = 0.002               // points of the result that probes above the floor may cost
+	figureCount, usualLike = 8, 6                // reports kept of a worker, and that the pool's usual one stands for
+	lagTimes               = 3                   // spans between reports that one may be old when it comes
+	queueShare             = 0.5                 // of its slots, what may queue at a worker with old figures
+	sureFresh              = 0.6                 // how far a figure must hold still for a clone
+	crowd                  = 16                  // schedulers, of all, that may take notice of a cold worker
+
+	asideFirst, asideMost  = 500 * time.Millisecond, 8 * time.Second // a set-aside's span; each next one doubles it
+	asideProbes, trialRuns = 2, 3                                    // answers to come back, successes to count in full
+	awaySpan               = time.Second                             // what a throttled client is told to wait
+	patience               = 300 * time.Millisecond                  // for a sign that is due
+	hintLow                = 1.4                                     // how far work lies over hinted cost in the middle
+	waitShare              = 0.5                                     // of the slack that own work gives, for waiting
 )
 
-// lags are the ages of a report among which the likeliest is learned.
-var lags = [...]time.Duration{0, 50e6, 100e6, 200e6, 350e6, 500e6, 750e6, 1e9, 14e8, 2e9, 28e8, 4e9, 56e8}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// house is what all parts share, with the few figures of the deployment that every worker's book needs.
-type house struct {
-	now, progress, warmAfter, window time.Duration
-	rng                              *rand.Rand
-	out                              []Action
-	unread                           []*inbox // with notes in them, oldest first
-	probes, tellsStart               bool
-	coldFrom                         float64
-}
-
-func (h *house) do(a Action) { h.out = append(h.out, a) }
-
-func (h *house) settle() {
-	for len(h.unread) > 0 {
-		b, notes := h.unread[0], h.unread[0].notes
-		h.unread, b.notes = h.unread[1:], nil
-		for _, note := range notes {
-			b.read(note)
-		}
-	}
-}
-
-type inbox struct {
-	*house
-	read  func(note any)
-	notes []any
-}
-
-func (b *inbox) put(note any) {
-	if b.notes = append(b.notes, note); len(b.notes) == 1 {
-		b.unread = append(b.unread, b)
-	}
-}
-
-type samples []float64
-
-func (s *samples) add(v float64, most int) {
-	if *s = append(*s, v); len(*s) > most {
-		*s = (*s)[1:]
-	}
-}
-
-func (s samples) mean() float64 {
-	sum := 0.0
-	for _, v := range s {
-		sum += v
-	}
-	return sum / float64(max(1, len(s)))
-}
-
-// at is a quantile, which one heavy invocation can't move as it moves a mean. 0 where nothing was measured.
-func (s samples) at(part float64) float64 {
-	return append(slices.Sorted(slices.Values(s)), 0)[int(part*float64(len(s)))]
-}
-
 func (s samples) spread() float64 { return s.at(0.84) - s.at(0.5) }
 
-// The notes that parts put into each other's inboxes, beside the events themselves.
-type (
-	tick   struct{} // the beat
-	choose struct{} // all that has happened at this moment is in
-	about  struct { // door to desk or worker, and on from a worker to the desk with the running time
-		inv   int
-		event Event
-		ran   time.Duration
-	}
-	freed  struct{ id InvID }                 // desk to door: nothing more will be heard of it
-	sent   struct{ errand }                   // desk to worker
-	pooled struct{ lag, every time.Duration } // desk to worker, each beat: age of reports, how often to probe
-	stuck  struct{ inv, fwd int }             // worker to desk: no answer is to be expected soon
-	misfit [len(lags)]float64                 // worker to desk: how badly each lag explains a report
-)
-
-// Dispatcher is one scheduler's decisions. As the door it makes ids small indices, and it follows the list.
-type Dispatcher struct {
-	house
-	inbox
-	desk                  desk
-	workers               []*worker
-	workerAt              map[WorkerID]int
-	invAt                 map[InvID]int
-	asks, follows         bool
-	failed                int
-	wakeAt, within, askAt time.Duration // askAt: when to ask for the list again if nothing has come by then
-}
-
 // New starts an instance. The deployment is turned into the figures that decisions use and is not kept.
 func New(dep Deployment, seed int64) *Dispatcher {
 	d := &Dispatcher{workerAt: map[WorkerID]int{}, invAt: map[InvID]int{}, asks: !dep.Pushed,
-		within: dep.Rules.AskWithin}
+		within: dep.Rules.AskWithin, peers: float64(max(1, dep.Peers))}
 	d.house = house{rng: rand.New(rand.NewSource(seed)), probes: dep.Allowed.Probes, window: dep.Rules.Fall,
 		progress: dep.Progress, tellsStart: dep.TellsStart, coldFrom: dep.Rules.ColdFrom,
 		warmAfter: dep.Rules.WarmAfter}
 	d.inbox = inbox{house: &d.house, read: d.read}
+	// The list service takes only so many calls at once: the first ones are spread, well inside the stated time.
+	d.askAt = time.Duration(d.rng.Float64() * min(float64(d.within/2), (d.peers-1)*float64(beat)))
 	d.desk = desk{inbox: inbox{house: &d.house, read: d.desk.read}, door: d, zone: dep.Zone, arrivals: samples{0},
 		cancels: dep.Allowed.Cancel, mostOut: dep.Allowed.MaxOut, mostForwards: max(1, dep.Allowed.MaxForwards),
 		after: min(dep.Allowed.MaxRetryAfter, awaySpan), refused: map[[3]int][2]time.Duration{},
-		each: probePoints / max(dep.ProbePrice, probePoints/4),
-		part: dep.Rules.FallMultiple * dep.Rules.Fall.Seconds() / float64(max(1, dep.Peers))}
+		each: probePoints / max(dep.ProbePrice, probePoints/4), size: few, credit: few, paces: map[int]samples{},
+		peers: d.peers, multiple: max(1, dep.Rules.FallMultiple),
+		budget: dep.Rules.FallMultiple * dep.Rules.Fall.Seconds()}
 	for _, o := range dep.Operations {
 		d.desk.ops = append(d.desk.ops, operation{weight: cmp.Or(max(0, o.BilledValue), 1), stretch: o.Stretch,
 			objective: o.LatencyObjective, window: o.DedupWindow, late: o.LateValue > 0, effect: o.Effect,
@@ -161,15 +79,11 @@
 	for _, event := range events {
 		d.enter(event)
 	}
-	if d.wakeAt <= now {
-		d.wakeAt = now + beat
-		d.do(Wake{At: d.wakeAt})
-		d.put(tick{})
-		d.desk.put(tick{})
+	for _, note := range []any{tick{}, choose{}} {
+		d.put(note)
+		d.desk.put(note)
 		d.settle()
 	}
-	d.desk.put(choose{})
-	d.settle()
 	return d.out
 }
 
@@ -185,7 +99,7 @@
 	switch n := (about{inv: inv, event: event}); {
 	case id > 0 && !held:
 	case known:
-		d.workers[at].put(n)
+		d.meet(at).put(n)
 	case held:
 		d.desk.put(n)
 	default:
@@ -203,16 +117,54 @@
 			d.do(Follow{})
 			d.askAt = d.now + max(time.Second, d.within/2)
 		}
+	case alarm:
+		if d.asks && !d.follows {
+			n.at = min(n.at, d.askAt)
+		}
+		if n.at < d.wakeAt || d.wakeAt <= d.now {
+			d.wakeAt = max(n.at, d.now+1)
+			d.do(Wake{At: d.wakeAt})
+		}
+	case wanted:
+		d.next(n)
 	case Listing:
 		d.follow(n)
 	}
 }
 
+func (d *Dispatcher) meet(at int) *worker {
+	p := &d.list[at]
+	if p.worker == nil {
+		p.worker = &worker{inbox: inbox{house: &d.house}, desk: &d.desk.inbox, id: p.Worker, card: card{at: at}}
+		p.worker.inbox.read = p.worker.read
+		p.worker.put(listed{p.Entry, p.luck, p.luck*d.peers < crowd})
+	}
+	return p.worker
+}
+
+// next asks the worker whose turn it is, by chance apart in each instance: one in all pools would draw a crowd.
+func (d *Dispatcher) next(w wanted) {
+	for n := 0; n < len(d.order); {
+		here, turn := (d.turn+n)%len(d.order), d.turn%len(d.order)
+		at := d.order[here]
+		switch p := &d.list[at]; {
+		case p.Standing != Ready:
+			p.inOrder, d.order[here] = false, d.order[len(d.order)-1]
+			d.order = d.order[:len(d.order)-1]
+		case !w.suits(p.Kind, p.Zone, p.Cell):
+			n++
+		default:
+			d.order[here], d.order[turn], d.turn = d.order[turn], at, turn+1
+			d.meet(at).put(ask{w.view})
+			return
+		}
+	}
+}
+
 func (d *Dispatcher) follow(list Listing) {
 	if list.Form == ListFailed {
-		// A list service that is down must not get all schedulers' calls at once, and one that has not been
-		// asked within the stated time makes us count as told: spread out, but well inside it.
-		wait := max(min(250*time.Millisecond<<min(d.failed, 5), d.within/4), 250*time.Millisecond)
+		// Not all schedulers' calls at once, but well inside the time after which we count as told.
+		wait := max(min(250*time.Millisecond<<min(d.failed, 6), d.within/2), 250*time.Millisecond)
 		d.follows, d.failed = false, d.failed+1
 		d.askAt = d.now + wait/2 + time.Duration(d.rng.Int63n(int64(wait)))
 		d.do(Log{fmt.Sprintf("list call failed or subscription lost, asking again at %v", d.askAt)})
@@ -221,73 +173,57 @@
 	if d.now > 0 { // the first one is only what was cached
 		d.follows, d.failed = true, 0
 	}
-	for _, w := range d.workers {
-		named := slices.ContainsFunc(list.Entries, func(e Entry) bool { return e.Worker == w.id })
-		if list.Form == ListWhole && !named {
-			w.put(Entry{Standing: Gone})
-		}
-	}
+	d.version++
 	for _, e := range list.Entries {
 		at, known := d.workerAt[e.Worker]
 		if !known {
-			at = len(d.workers)
-			w := &worker{inbox: inbox{house: &d.house}, desk: &d.desk.inbox, id: e.Worker, card: card{at: at}}
-			w.inbox.read = w.read
-			d.workers, d.workerAt[e.Worker] = append(d.workers, w), at
+			at = len(d.list)
+			d.list, d.workerAt[e.Worker] = append(d.list, place{}), at
+		}
+		d.enlist(at, e)
+	}
+	for at := range d.list {
+		if p := &d.list[at]; list.Form == ListWhole && p.version != d.version && p.Standing != Gone {
+			gone := p.Entry
+			gone.Standing = Gone
+			d.enlist(at, gone)
 		}
-		d.workers[at].put(e)
 	}
 }
 
-type need struct{ slots, memory float64 }
-
-func (n need) plus(t float64, m need) need { return need{n.slots + t*m.slots, n.memory + t*m.memory} }
-
-type errand struct {
-	inv, fwd int
-	need
-	work, size              float64
-	lost                    bool
-	sent, began, heard, end time.Duration // end: when its slots are free again; 0 while it is out
-}
-
-type card struct {
-	at, zone, kind, cell             int
-	open, trial, known, tested, full bool    // tested: its pace is its own, and a warm worker's
-	room, size                       need    // size: the most seen free
-	mine, fresh, pace                float64 // how far the last figure holds still; running time over hinted cost
-	warmth, spent                    float64 // of a cold worker: the part of its capacity, and our work sent of late
-}
-
-// worker is the actor that keeps one worker's book.
-type worker struct {
-	inbox
-	card
-	desk                                  *inbox
-	id                                    WorkerID
-	standing                              Standing
-	cold, aside                           bool
-	startedAt, asideTill, fullTill        time.Duration
-	lastSign, figureAt, probedAt, probeAt time.Duration
-	lag, every                            time.Duration // how old a report is when it comes; how often to probe
-	errands                               []errand
-	figures                               []need // what was free or ours at the last few reports, the last at figureAt
-	load                                  Load   // the last report as it came
-	fit                                   misfit
-	paces, runs                           samples
-	asides, wanted                        int // how often it was set aside of late; successes still wanted on trial
-	answers, missed                       int // probes in a row with and without an answer
+func (d *Dispatcher) enlist(at int, e Entry) {
+	p := &d.list[at]
+	starts := e.Restarted && e.Standing == Ready && (!p.Restarted || e.StartedAt > p.StartedAt)
+	if p.Entry, p.version = e, d.version; starts {
+		p.luck = d.rng.Float64()
+	}
+	if e.Standing == Ready && !p.inOrder {
+		n := d.rng.Intn(len(d.order) + 1)
+		d.order = append(d.order, at)
+		d.order[n], d.order[len(d.order)-1], p.inOrder = at, d.order[n], true
+	}
+	noticed := p.luck*d.peers < crowd
+	if p.worker != nil {
+		p.worker.put(listed{e, p.luck, noticed})
+	}
+	if starts && noticed && d.now > 0 && d.now < e.StartedAt+d.warmAfter {
+		d.meet(at).put(ask{view{run: 1}})
+	}
 }
 
 func (w *worker) read(note any) {
 	switch n := note.(type) {
-	case Entry:
-		w.follow(n)
+	case listed:
+		w.luck, w.noticed = n.luck, n.noticed
+		w.follow(n.Entry)
 	case sent:
 		w.errands = append(w.errands, n.errand)
-	case pooled:
-		w.lag, w.every = n.lag, n.every
+	case view:
+		w.all = n
 		w.watch()
+	case ask:
+		w.all, w.seen, w.recheck = n.view, w.now, n.learn
+		w.probe()
 	case about:
 		switch e := n.event.(type) {
 		case Sign:
@@ -320,24 +256,28 @@
 func (w *worker) tell() {
 	mine := w.held(w.now)
 	w.open, w.trial, w.known = w.standing == Ready && !w.aside, w.wanted > 0, len(w.figures) > 0
-	w.full = w.now < w.fullTill
-	w.mine, w.pace, w.warmth, w.spent = mine.slots, w.paces.at(0.5), 1, 0
+	w.full, w.busy = w.now < w.fullTill, w.aside || w.recheck
+	w.mine, w.warmth, w.spent = mine.slots, 1, 0
 	if n := len(w.figures); n > 0 {
-		// What others hold drifts back to its usual level while a figure ages, and a crowd chases the worker that
-		// looked emptiest: the older the last figure, the more the mean of the last few counts.
-		w.fresh = math.Exp(-max(0, w.now-w.figureAt).Seconds() / max(w.runs.mean(), 0.1))
-		w.room = w.figures[n-1].plus(-1, mine).plus(w.fresh-1, w.figures[n-1])
+		// A crowd chases the worker that looked emptiest: the older its last figure, the more the mean of the last
+		// few counts, and the fewer there are, the more what is usual anywhere.
+		w.last = w.figures[n-1]
+		w.fresh = math.Exp(-max(0, w.now-w.figureAt).Seconds() / max(w.all.run, 0.1))
+		w.room = w.last.plus(-1, mine).plus(w.fresh-1, w.last)
+		each := (1 - w.fresh) / float64(n+usualLike)
 		for _, f := range w.figures {
-			w.room = w.room.plus((1-w.fresh)/float64(n), f)
+			w.room = w.room.plus(each, f)
 		}
+		w.room = w.room.plus(each*usualLike, w.all.usual)
 		w.room.slots = math.Round(w.room.slots)
 	}
 	if age := w.now - w.startedAt; w.cold && age < w.warmAfter {
 		w.warmth = w.coldFrom + (1-w.coldFrom)*max(0, age.Seconds()/w.warmAfter.Seconds())
-		for _, e := range w.errands {
-			if e.sent+w.window > w.now && e.sent > w.startedAt {
-				w.spent += e.size
-			}
+	}
+	for i := range w.errands {
+		e := &w.errands[i]
+		if w.busy = w.busy || e.end == 0; w.warmth < 1 && e.sent+w.window > w.now && e.sent > w.startedAt {
+			w.spent += e.cost
 		}
 	}
 	w.desk.put(w.card)
@@ -349,7 +289,7 @@
 		return
 	}
 	if e.Restarted && (!w.cold || e.StartedAt > w.startedAt) {
-		w.cold, w.startedAt, w.figures, w.load, w.paces = true, e.StartedAt, nil, Load{}, nil
+		w.cold, w.startedAt, w.figures, w.load, w.paces, w.pace = true, e.StartedAt, nil, Load{}, nil, 0
 		w.aside, w.wanted, w.missed = false, 0, 0
 		w.release(e.StartedAt)
 	}
@@ -357,11 +297,12 @@
 }
 
 func (w *worker) find(inv, fwd int) *errand {
-	at := slices.IndexFunc(w.errands, func(e errand) bool { return e.inv == inv && e.fwd == fwd && e.end == 0 })
-	if at < 0 {
-		return nil
+	for i := range w.errands {
+		if e := &w.errands[i]; e.inv == inv && e.fwd == fwd && e.end == 0 {
+			return e
+		}
 	}
-	return &w.errands[at]
+	return nil
 }
 
 func (w *worker) release(before time.Duration) {
@@ -373,14 +314,21 @@
 	}
 }
 
+func (w *worker) probe() {
+	if w.probes && w.standing == Ready && !(w.asking && w.probedAt == w.now) {
+		w.probedAt, w.asking = w.now, true
+		w.do(Probe{w.id})
+	}
+}
+
 func (w *worker) answered(a Answer) {
+	w.asking = false
 	switch a.Result {
 	case Succeeded:
 		w.missed, w.answers, w.fullTill = 0, w.answers+1, 0
 		w.report(a.Load)
 		w.comeBack(w.answers >= asideProbes)
 	case Full: // probes are capped, which tells nothing
-		w.probeAt = min(w.probeAt, w.now+patience)
 	default:
 		w.answers, w.missed = 0, w.missed+1
 		if w.missed > 1 || w.lastSign < w.now-a.Took {
@@ -391,23 +339,21 @@
 
 // report takes a load report in. One that equals the last and comes soon after is the same figure seen again.
 func (w *worker) report(load *Load) {
-	same := load != nil && *load == w.load && w.now-w.figureAt < 5*w.lag
-	if load == nil || same || load.FreeSlots < 0 {
+	if load == nil {
 		return
 	}
-	free := need{math.Round(load.FreeSlots - load.Waiting), load.FreeMemory}
-	w.size = need{max(w.size.slots, free.slots), max(w.size.memory, free.memory)}
-	var fit, differ misfit
-	for i, lag := range lags {
-		fit[i] = free.plus(1, w.held(w.now-lag)).slots
-		differ[i] = (fit[i] - w.fit[i]) * (fit[i] - w.fit[i])
+	first, changed, gap := w.load == Load{}, *load != w.load, w.now-w.reportAt
+	if w.load, w.reportAt = *load, w.now; gap < 10*beat && !first {
+		w.desk.put(pair{gap.Seconds(), map[bool]float64{true: 1}[changed]})
 	}
-	if w.known {
-		w.desk.put(differ)
+	if !changed && gap < 5*w.all.lag || load.FreeSlots < 0 {
+		return
 	}
-	w.fit, w.load = fit, *load
-	w.figure(w.now-w.lag, free)
-	oldest := w.now - max(lags[len(lags)-1], w.window)
+	// What fails fast leaves its slots free: they are counted as if it had run.
+	free := need{math.Round(load.FreeSlots - load.Waiting - load.Errors*w.all.run), load.FreeMemory}
+	w.size = need{max(w.size.slots, free.slots), max(w.size.memory, free.memory)}
+	w.figure(w.now-w.all.lag, free)
+	oldest := w.now - max(w.all.lag, w.window)
 	w.errands = slices.DeleteFunc(w.errands, func(e errand) bool { return e.end != 0 && e.end < oldest })
 }
 
@@ -424,8 +370,8 @@
 		switch o.Result {
 		case Succeeded:
 			n.ran, w.fullTill = w.now-cmp.Or(e.began, e.sent), 0
-			w.runs.add(n.ran.Seconds(), sampleCount)
-			w.paces.add(n.ran.Seconds()/e.work, sampleCount)
+			w.paces.add(n.ran.Seconds() / e.work)
+			w.pace = w.paces.at(0.5)
 			w.comeBack(true)
 			if w.wanted = max(0, w.wanted-1); w.wanted == 0 {
 				w.asides = max(0, w.asides-1)
@@ -435,14 +381,14 @@
 			w.setAside("fails what it gets", false)
 		case Cancelled:
 			// It may go on: its slots stay counted for as long as it would have run.
-			e.end = max(w.now, e.sent+seconds(e.work*max(0.5, w.paces.at(0.5))))
+			e.end = max(w.now, e.sent+seconds(e.work*max(0.5, w.pace)))
 		case Full:
 			e.end, w.fullTill = e.sent, w.now+asideFirst // it counts as sent to a cold worker all the same
 			if w.known {
 				w.figure(w.now, need{})
 			}
 		case Unreachable, NotSent:
-			if e.end, e.size = e.sent, 0; o.Result == Unreachable {
+			if e.end, e.cost = e.sent, 0; o.Result == Unreachable {
 				w.setAside("can't be reached", true)
 			}
 		}
@@ -452,16 +398,17 @@
 
 func (w *worker) comeBack(seen bool) {
 	if w.aside && seen && w.now >= w.asideTill {
-		w.aside, w.wanted = false, trialRuns*max(1, w.asides)
+		w.aside, w.wanted, w.seen = false, trialRuns*max(1, w.asides), w.now
 		w.do(Log{fmt.Sprintf("worker %v is back, on trial", w.id)})
 	}
 }
 
+// setAside doubles the span each time, as probes are not to be spent on the dead where there are few.
 func (w *worker) setAside(why string, silent bool) {
-	if !w.aside && w.standing == Ready {
+	if w.standing == Ready && (!w.aside || silent && w.now >= w.asideTill) {
+		w.do(Log{fmt.Sprintf("worker %v is set aside: %s", w.id, why)})
 		w.asideTill = w.now + min(asideFirst<<w.asides, asideMost)
 		w.aside, w.answers, w.asides = true, 0, min(w.asides+1, 5)
-		w.do(Log{fmt.Sprintf("worker %v is set aside: %s", w.id, why)})
 	}
 	if silent {
 		w.release(w.now)
@@ -471,7 +418,12 @@
 // watch looks for overdue signs. A hung worker shows the most free slots and would draw all work, but a busy
 // one must not lose its place: suspicion asks, silence beyond what waiting explains decides.
 func (w *worker) watch() {
-	suspect, wait := false, patience+w.lag
+	suspect, most := false, 3*w.all.run*max(1, w.pace)
+	if w.load.FreeSlots <= 0 {
+		// A full one has reason to be silent, the more the longer its queue: where traffic is thin no other
+		// invocation of ours there shows that it is at work.
+		most *= 2 + w.load.Waiting/max(1, w.size.slots)
+	}
 	for i := range w.errands {
 		e := &w.errands[i]
 		due := e.sent
@@ -485,99 +437,43 @@
 		case w.progress > 0:
 			due = max(due, e.heard) + w.progress
 		default:
-			due += seconds(4 * e.work * max(1, w.paces.at(0.5)))
+			due += seconds(4 * e.work * max(1, w.pace))
 		}
-		if silent := w.now - max(due, w.lastSign) - wait; silent > seconds(3*cmp.Or(w.runs.mean(), 1)) {
+		silent := w.now - max(due, w.lastSign) - patience
+		if suspect = suspect || silent > 0; silent > seconds(most) {
 			w.setAside("silent", true)
-		} else if silent > 0 {
-			suspect = true
 		}
 	}
-	if w.probes && w.standing == Ready && (w.now >= w.probeAt || suspect && w.now >= w.probedAt+patience) {
-		w.probedAt, w.probeAt = w.now, w.now+w.every/2+time.Duration(w.rng.Int63n(int64(w.every+1)))
-		if w.aside {
-			w.probeAt = w.now + asideFirst/2
-		}
-		w.do(Probe{w.id})
+	if past := w.now - w.probedAt; w.recheck && past >= beat || suspect && past >= patience ||
+		w.aside && w.now >= w.asideTill && past >= asideFirst/2 {
+		w.recheck = false
+		w.probe()
 	}
 }
 
-type operation struct {
-	weight, stretch   float64
-	objective, window time.Duration
-	late              bool // an answer after the objective still has a value
-	effect            Effect
-	scope             Scope
-	kind              int
-	ratios, sizes     samples       // running time over hinted cost, and running time, of finishes
-	most              time.Duration // the longest a client has been ready to wait
-}
-
-type tried struct {
-	at              int
-	sent            time.Duration
-	out, ran, stuck bool // ran: it may have run
-}
-
-type inv struct {
-	need
-	id             InvID
-	op, tenant     int
-	first, givenUp time.Duration // its first try came, its client timeout
-	work, size     float64       // hinted cost, effective size
-	weight, rank   float64
-	done, over     bool // answered; nothing more will be heard of it
-	tries          []tried
-}
-
-type desk struct {
-	inbox
-	door                  *Dispatcher
-	zone                  int
-	after                 time.Duration // how long a throttled client is to stay away
-	cancels               bool
-	mostForwards, mostOut int
-	part, each            float64 // our seconds of a cold worker's capacity; probes that an invocation pays for
-	ops                   []operation
-	invs                  []inv
-	held                  []int // by rank, highest first
-	board                 []card
-	jobs, clones          float64
-	arrivals              samples
-	misfits               [len(lags)]samples
-	refused               map[[3]int][2]time.Duration // worker, operation, tenant: till when, for how long
-}
-
-func (k *desk) slot() int {
-	i := slices.IndexFunc(k.invs, func(j inv) bool { return j.over })
-	if i < 0 {
-		i, k.invs = len(k.invs), append(k.invs, inv{})
+func (k *desk) slot() (i int) {
+	if n := len(k.spare); n > 0 {
+		i, k.spare = k.spare[n-1], k.spare[:n-1]
+		return i
 	}
-	return i
+	k.invs = append(k.invs, inv{})
+	return len(k.invs) - 1
 }
 
 func (k *desk) read(note any) {
 	switch n := note.(type) {
 	case card:
-		if n.at == len(k.board) {
-			k.board = append(k.board, n)
-		}
-		if n.tested = n.pace > 0 && n.warmth == 1; n.pace == 0 {
-			n.pace = k.usualPace(n.kind)
-		}
-		n.pace /= n.warmth
-		k.board[n.at] = n
-	case misfit:
-		for i, v := range n {
-			k.misfits[i].add(v, lagSamples)
-		}
+		k.post(n)
+	case pair:
+		k.gaps.add(n.gap)
+		k.changes.add(n.changed)
 	case stuck:
 		if j := &k.invs[n.inv]; !j.done && n.fwd < len(j.tries) {
 			j.tries[n.fwd].stuck = true
 			k.again(n.inv)
 		}
 	case tick:
-		k.learn()
+		k.watch()
 	case choose:
 		k.choose()
 	case about:
@@ -594,48 +490,91 @@
 	}
 }
 
-func (k *desk) usualPace(kind int) float64 {
-	var paces samples
-	for _, c := range k.board {
-		if c.tested && c.kind == kind {
-			paces = append(paces, c.pace)
+// post keeps the board, and the pool in the order in which its workers were last asked.
+func (k *desk) post(n card) {
+	if more := n.at + 1 - len(k.board); more > 0 {
+		k.board = append(k.board, make([]*card, more)...)
+	}
+	n.pace = cmp.Or(n.pace, k.paces[n.kind].at(0.5), 1) / n.warmth
+	old := k.board[n.at]
+	if old == nil {
+		old = &card{seen: -1}
+		k.board[n.at] = old
+	}
+	joins, leaves := n.open && (n.seen > old.seen || !old.open), !n.open && old.open
+	if n.busy && !old.busy && !slices.Contains(k.busy, n.at) {
+		k.busy = append(k.busy, n.at)
+	}
+	if *old = n; joins || leaves {
+		k.pool = slices.DeleteFunc(k.pool, func(at int) bool { return at == n.at })
+	}
+	if joins {
+		k.pool = append(k.pool, n.at)
+	}
+	for len(k.pool) > int(k.size) {
+		oldest := k.board[k.pool[0]]
+		if k.pool = k.pool[1:]; oldest.noticed && oldest.warmth < 1 {
+			k.door.list[oldest.at].worker.put(ask{k.all}) // we are one of few that may use it
 		}
 	}
-	return cmp.Or(paces.at(0.5), 1)
 }
 
-// learn works out how old reports are: at the true lag, free slots plus our own vary least between two.
-func (k *desk) learn() {
-	lag := 0
-	for i, s := range k.misfits {
-		if len(s) >= sampleCount && s.mean() < k.misfits[lag].mean() {
-			lag = i
+// watch lets only those workers look at the time that matter now: its cost must not grow with the fleet.
+func (k *desk) watch() {
+	rate := probeFloor + k.each*float64(len(k.arrivals))/max(0.1, k.now.Seconds()-k.arrivals[0])
+	k.size = max(few, min(k.size, rate*reach.Seconds()))
+	k.credit += probeFloor * (k.now - k.creditAt).Seconds()
+	// Best when an invocation comes, as figures are worth most while they are young; else a few each second.
+	if k.creditAt = k.now; k.comes || k.credit >= probeFloor {
+		for k.comes = false; k.credit >= 1; k.credit-- {
+			k.door.put(wanted{-1, -1, -1, k.all})
+		}
+		if k.all.learn {
+			k.left = k.now
 		}
 	}
-	rate := probeFloor + k.each*float64(len(k.arrivals))/max(0.1, k.now.Seconds()-k.arrivals[0])
-	for _, w := range k.door.workers {
-		w.put(pooled{lags[lag], seconds(float64(len(k.board)) / rate)})
+	if k.now < k.viewed+beat {
+		return
+	}
+	var slots, memory samples
+	for _, at := range k.pool {
+		if c := k.board[at]; c.known {
+			slots.add(c.last.slots)
+			memory.add(c.last.memory)
+		}
+	}
+	// The usual is a middle, as the queue of one that hangs would drag a mean down.
+	k.viewed, k.all = k.now, view{run: cmp.Or(k.runs.mean(), 1), learn: len(k.gaps) < sampleCount,
+		usual: need{slots.at(0.5), memory.at(0.5)},
+		lag:   seconds(lagTimes * (patience.Seconds() + k.gaps.sum()) / (1 + k.changes.sum()))}
+	k.busy = slices.DeleteFunc(k.busy, func(at int) bool { return !k.board[at].busy })
+	look := k.busy
+	if len(k.held) > 0 {
+		look = append(slices.Clip(look), k.pool...)
+	}
+	for _, at := range look {
+		k.door.list[at].worker.put(k.all)
 	}
 }
 
 func (k *desk) take(i int, a Arrival) {
 	o, j := &k.ops[min(a.Operation, len(k.ops)-1)], &k.invs[i]
-	*j = inv{id: a.Inv, op: a.Operation, tenant: a.Tenant, givenUp: k.now + a.Budget, work: a.Hint,
-		need: need{max(1, a.Slots), a.Memory}, weight: o.weight, tries: j.tries[:0]}
-	if j.work <= 0 {
-		j.work = cmp.Or(o.sizes.mean(), 1)
-	}
+	*j = inv{id: a.Inv, op: a.Operation, tenant: a.Tenant, came: k.now, givenUp: k.now + a.Budget,
+		work: cmp.Or(max(0, a.Hint), o.sizes.mean(), 1), need: need{max(1, a.Slots), a.Memory}, weight: o.weight,
+		tries: j.tries[:0]}
 	// What is left of a later try tells how long its client has waited: the objective counts from the first try.
 	o.most = max(o.most, a.Budget)
 	j.first = k.now - (o.most - a.Budget)
 	k.jobs++
-	k.arrivals.add(k.now.Seconds(), lagSamples)
+	k.arrivals.add(k.now.Seconds())
+	k.comes, k.credit = true, k.credit+k.each
 	k.hold(i)
 }
 
 func (k *desk) hold(i int) {
 	j := &k.invs[i]
 	j.size = j.work * (1 + spreadTimes*k.ops[j.op].ratios.spread())
+	j.cost = j.work * (1 + k.ops[j.op].ratios.spread())
 	j.rank = j.weight / j.size
 	at := sort.Search(len(k.held), func(n int) bool { return k.invs[k.held[n]].rank < j.rank })
 	k.held = slices.Insert(k.held, at, i)
@@ -645,27 +584,24 @@
 	k.held = slices.DeleteFunc(k.held, func(other int) bool { return other == i })
 }
 
-// live counts the forwards that are out, and those with hope of an answer. first is the first that may have
-// run: it fixes group and window of what is deduplicated.
-func (j *inv) live() (out, hoped int, first *tried) {
+// live counts the forwards that are out. first may have run: it fixes group and window of what is deduplicated.
+func (j *inv) live() (out int, first *tried) {
 	for f := range j.tries {
 		t := &j.tries[f]
 		if t.out {
 			out++
-			if !t.stuck {
-				hoped++
-			}
 		}
 		if first == nil && (t.out || t.ran) {
 			first = t
 		}
 	}
-	return out, hoped, first
+	return out, first
 }
 
 func (k *desk) again(i int) {
 	j := &k.invs[i]
-	if _, hoped, _ := j.live(); j.done || hoped > 0 || slices.Contains(k.held, i) {
+	hope := slices.ContainsFunc(j.tries, func(t tried) bool { return t.out && !t.stuck })
+	if j.done || hope || slices.Contains(k.held, i) {
 		return
 	}
 	if k.may(j) && !k.hopeless(j) {
@@ -678,7 +614,7 @@
 // may tells whether the effect class and the limits allow one more forward.
 func (k *desk) may(j *inv) bool {
 	o := &k.ops[j.op]
-	out, _, first := j.live()
+	out, first := j.live()
 	return len(j.tries) < k.mostForwards && out < k.mostOut && (first == nil || o.effect == Idempotent ||
 		o.effect == Deduplicated && k.now < first.sent+o.window)
 }
@@ -693,8 +629,8 @@
 func (k *desk) hopeless(j *inv) bool {
 	o := &k.ops[j.op]
 	most := o.objective
-	for i := range k.board {
-		if c := &k.board[i]; c.open && (o.kind < 0 || o.kind == c.kind) {
+	for _, at := range k.pool {
+		if c := k.board[at]; o.kind < 0 || o.kind == c.kind {
 			most = max(most, k.slack(j, c.pace))
 		}
 	}
@@ -704,7 +640,7 @@
 func (k *desk) giveUp(i int) {
 	j := &k.invs[i]
 	o := &k.ops[j.op]
-	switch out, _, first := j.live(); {
+	switch out, first := j.live(); {
 	case out > 0: // it may still be answered
 		k.unhold(i)
 		return
@@ -727,6 +663,7 @@
 		j.over = j.over && !t.out
 	}
 	if j.done = true; j.over {
+		k.spare = append(k.spare, i)
 		k.door.put(freed{j.id})
 	}
 }
@@ -742,8 +679,14 @@
 	switch e.Result {
 	case Succeeded:
 		delete(k.refused, key)
-		o.sizes.add(n.ran.Seconds(), sampleCount)
-		o.ratios.add(n.ran.Seconds()/j.work, sampleCount)
+		o.sizes.add(n.ran.Seconds())
+		o.ratios.add(n.ran.Seconds() / j.work)
+		k.runs.add(n.ran.Seconds())
+		if c := k.board[t.at]; c.warmth == 1 {
+			paces := k.paces[c.kind]
+			paces.add(n.ran.Seconds() / j.work)
+			k.paces[c.kind] = paces
+		}
 	case Full:
 		// One that turns a tenant away while its probes show room would draw that tenant's top invocation for ever.
 		span := min(max(2*k.refused[key][1], asideFirst/8), asideMost)
@@ -761,23 +704,42 @@
 
 // choose is the design's step: running set, release in rank order, clones from what room is left.
 func (k *desk) choose() {
-	total, above, running := 0.0, 0.0, []int{}
+	total, above, running := 0.0, 0.0, []int(nil)
 	for _, i := range k.held {
 		total += k.invs[i].weight
 	}
-	for _, i := range slices.Clone(k.held) {
+	asking := k.all.lag < seconds(k.all.run/2) && // else answers are too old to be worth a beat
+		slices.ContainsFunc(k.pool, func(at int) bool { return k.board[at].asking })
+	for n := 0; n < len(k.held); {
+		i := k.held[n]
 		j := &k.invs[i]
 		inSet := above < epsilon*total
 		above += j.weight
 		if k.hopeless(j) {
 			k.giveUp(i)
+		} else if asking && k.now < j.came+beat {
+			n++
 		} else if at, _ := k.pick(j); at >= 0 {
 			k.send(i, at)
 			if inSet && k.ops[j.op].effect == Idempotent && len(j.tries) == 1 {
 				running = append(running, i)
 			}
+		} else {
+			k.grow(j)
+			n++
 		}
 	}
+	k.clone(running)
+	next := k.now + seconds(max(0, 1-k.credit/probeFloor))
+	if len(k.held) > 0 || k.now < k.left+2*beat {
+		next = min(next, k.now+beat)
+	} else if len(k.busy) > 0 {
+		next = min(next, k.now+patience/3)
+	}
+	k.door.put(alarm{next})
+}
+
+func (k *desk) clone(running []int) {
 	slices.SortStableFunc(running, func(a, b int) int { return cmp.Compare(k.invs[b].weight, k.invs[a].weight) })
 	for _, i := range running {
 		at, roomy := k.pick(&k.invs[i])
@@ -792,38 +754,61 @@
 	}
 }
 
+// grow adds a worker when those of the pool are all busy, once for a forward, as the whole fleet may be.
+func (k *desk) grow(j *inv) {
+	if j.grown <= len(j.tries) {
+		j.grown = len(j.tries) + 1
+		k.size++
+		k.door.put(k.wants(j))
+	}
+}
+
+// wants tells which workers may have an invocation next. The first forward that may have run fixes the group of
+// what is deduplicated.
+func (k *desk) wants(j *inv) wanted {
+	o, w := &k.ops[j.op], wanted{k.ops[j.op].kind, -1, -1, k.all}
+	if _, first := j.live(); first != nil && o.effect == Deduplicated && o.scope == ScopeZone {
+		w.zone = k.board[first.at].zone
+	} else if first != nil && o.effect == Deduplicated && o.scope == ScopeCell {
+		w.cell = k.board[first.at].cell
+	}
+	return w
+}
+
+func (w wanted) suits(kind, zone, cell int) bool {
+	return (w.kind < 0 || w.kind == kind) && (w.zone < 0 || w.zone == zone) && (w.cell < 0 || w.cell == cell)
+}
+
 func (k *desk) send(i, at int) {
-	j, c := &k.invs[i], &k.board[at]
+	j, c := &k.invs[i], k.board[at]
 	k.unhold(i)
 	j.tries = append(j.tries, tried{at: at, sent: k.now, out: true})
-	k.do(Forward{j.id, k.door.workers[at].id})
-	c.room = c.room.plus(-1, j.need)
-	c.mine, c.spent = c.mine+j.slots, c.spent+j.size
-	k.door.workers[at].put(sent{errand{inv: i, fwd: len(j.tries) - 1, need: j.need, work: j.work, size: j.size,
+	k.do(Forward{j.id, k.door.list[at].Worker})
+	k.left = k.now
+	c.room, c.mine, c.spent = c.room.plus(-1, j.need), c.mine+j.slots, c.spent+j.cost
+	k.door.list[at].worker.put(sent{errand{inv: i, fwd: len(j.tries) - 1, need: j.need, work: j.work, cost: j.cost,
 		sent: k.now}})
 }
 
 // pick gives -1 where no room seems free. roomy: over half the pooled workers show room.
 func (k *desk) pick(j *inv) (best int, roomy bool) {
 	var pooled, known, roomCount, room, mine, usual float64 // usual: our slots at workers with a figure
-	for _, c := range k.board {
-		if c.open {
-			pooled, mine = pooled+1, mine+c.mine
-			if c.known {
-				known, room, usual = known+1, room+c.room.slots, usual+c.mine
-			}
-			if c.room.slots >= 1 {
-				roomCount++
-			}
+	for _, at := range k.pool {
+		c := k.board[at]
+		if pooled, mine = pooled+1, mine+c.mine; c.known {
+			known, room, usual = known+1, room+c.room.slots, usual+c.mine
+		}
+		if c.room.slots >= 1 {
+			roomCount++
 		}
 	}
 	best, timely := -1, false
 	var bestRoom float64
-	from := k.rng.Intn(max(1, len(k.board)))
-	for n := range k.board {
-		at := (from + n) % len(k.board)
-		c := &k.board[at]
-		if !k.fits(j, at, c) {
+	from, want := k.rng.Intn(max(1, len(k.pool))), k.wants(j)
+	for n := range k.pool {
+		at := k.pool[(from+n)%len(k.pool)]
+		c := k.board[at]
+		if !want.suits(c.kind, c.zone, c.cell) || !k.fits(j, at, c) {
 			continue
 		}
 		has := c.room.slots
@@ -834,14 +819,14 @@
 		} else if !c.known { // new to the pool: it counts at the mean
 			has = math.Round((room+usual)/known - c.mine)
 		}
-		if c.trial {
-			has = min(has, 1-c.mine)
-		}
 		inTime := k.ops[j.op].late || k.now-j.first <= k.slack(j, c.pace)
 		if inTime && !timely {
 			best, timely = -1, true // better held for one that can do it in time than sent to one that can't
 		}
-		if has < j.slots || timely && !inTime {
+		// Figures that come late show no room that has been free for less: work that can wait may queue there.
+		left := k.slack(j, c.pace) - (k.now - j.first)
+		seat := has + (1-c.fresh)*c.size.slots*queueShare*max(0, min(1, left.Seconds()/k.all.run))
+		if seat < j.slots || timely && !inTime {
 			continue
 		}
 		if c.zone == k.zone {
@@ -855,17 +840,19 @@
 }
 
 func (k *desk) fits(j *inv, at int, c *card) bool {
-	o := &k.ops[j.op]
-	if !c.open || o.kind >= 0 && o.kind != c.kind || c.known && c.room.memory < j.memory ||
-		c.trial && o.effect == NonIdempotent || k.refused[[3]int{at, j.op, j.tenant}][0] > k.now ||
-		slices.ContainsFunc(j.tries, func(t tried) bool { return t.at == at && (t.out || t.ran) }) {
-		return false
-	}
-	if _, _, first := j.live(); first != nil && o.effect == Deduplicated {
-		group := &k.board[first.at]
-		if o.scope == ScopeZone && group.zone != c.zone || o.scope == ScopeCell && group.cell != c.cell {
-			return false
-		}
-	}
-	return c.warmth == 1 || c.spent+j.size <= k.part*max(1, c.size.slots)/c.pace
+	return (!c.known || c.room.memory >= j.memory) && k.refused[[3]int{at, j.op, j.tenant}][0] <= k.now &&
+		!(c.trial && (c.mine > 0 || k.ops[j.op].effect == NonIdempotent)) &&
+		!slices.ContainsFunc(j.tries, func(t tried) bool { return t.at == at && (t.out || t.ran) }) &&
+		(c.warmth == 1 || k.warms(j, c))
+}
+
+// warms tells whether a cold worker may get an invocation if all others send too: it fits our even part of the
+// budget, or chance has made us one of the few that may send one in a span. These are so many that three
+// deviations more of them fit the budget, and their mean what the worker can do.
+func (k *desk) warms(j *inv, c *card) bool {
+	budget := k.budget * max(1, c.size.slots) / c.pace
+	fit := budget / j.cost
+	senders := math.Pow(max(0, math.Sqrt(fit+1.25)-1.5), 2)
+	return k.peers*(c.spent+j.cost) <= budget ||
+		c.spent == 0 && c.luck*k.peers < min(senders, fit/k.multiple, crowd)
 }
--- a/dispatch/play_test.go
+++ b/dispatch/play_test.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// frequent has answers in a row show that reports are made often, so that young figures count.
+func (p *play) frequent(names ...byte) {
+	for n := range 2 * sampleCount {
+		p.at(p.now+2*ms, free(names[n/2%len(names)], float64(1+n%3)))
+	}
+}
+
 func (p *play) until(when time.Duration) {
 	for p.now+beat <= when {
 		p.at(p.now+beat, Due{})
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"math/rand"
 	"net/netip"
+	"slices"
 	"time"
 )
 
+// The first part is the interface, the second how the parts of the module talk and what they write down.
 // All times here are spans since the instance's start; work is in seconds on a standard core.
 
 // InvID names an invocation at the door; inside the module it is a small index.
@@ -232,3 +235,215 @@
 
 // Log is a line for the people on call.
 type Log struct{ Text string }
+
+// The parts: each has an inbox, and they talk only by notes in inboxes, which one loop empties.
+
+// house is what all parts share, with the few figures of the deployment that every worker's book needs.
+type house struct {
+	now, progress, warmAfter, window time.Duration
+	rng                              *rand.Rand
+	out                              []Action
+	unread                           []*inbox // with notes in them, oldest first
+	probes, tellsStart               bool
+	coldFrom                         float64
+}
+
+func (h *house) do(a Action) { h.out = append(h.out, a) }
+
+func (h *house) settle() {
+	for n := 0; n < len(h.unread); n++ {
+		b, notes := h.unread[n], h.unread[n].notes
+		b.notes = b.spare[:0]
+		for _, note := range notes {
+			b.read(note)
+		}
+		b.spare = notes
+	}
+	h.unread = h.unread[:0]
+}
+
+type inbox struct {
+	*house
+	read         func(note any)
+	notes, spare []any
+}
+
+func (b *inbox) put(note any) {
+	if b.notes = append(b.notes, note); len(b.notes) == 1 {
+		b.unread = append(b.unread, b)
+	}
+}
+
+type samples []float64
+
+func (s *samples) add(v float64) {
+	if len(*s) == sampleCount {
+		*s = append((*s)[:0], (*s)[1:]...)
+	}
+	*s = append(*s, v)
+}
+
+func (s samples) sum() (sum float64) {
+	for _, v := range s {
+		sum += v
+	}
+	return sum
+}
+
+func (s samples) mean() float64 { return s.sum() / float64(max(1, len(s))) }
+
+// at is a quantile, which one heavy invocation can't move as it moves a mean. 0 where nothing was measured.
+func (s samples) at(part float64) float64 {
+	var room [2 * sampleCount]float64
+	return append(slices.Sorted(slices.Values(append(room[:0], s...))), 0)[int(part*float64(len(s)))]
+}
+
+// The notes that parts put into each other's inboxes, beside the events themselves.
+type (
+	tick   struct{}                   // time has passed
+	choose struct{}                   // all that has happened at this moment is in
+	alarm  struct{ at time.Duration } // desk to door: when time alone may change a decision
+	about  struct {                   // door to desk or worker, and on from a worker to the desk with the running time
+		inv   int
+		event Event
+		ran   time.Duration
+	}
+	freed struct{ id InvID }             // desk to door: nothing more will be heard of it
+	sent  struct{ errand }               // desk to worker
+	stuck struct{ inv, fwd int }         // worker to desk: no answer is to be expected soon
+	pair  struct{ gap, changed float64 } // worker to desk: two answers in a row, with one report or two
+	view  struct {                       // desk to worker, while it matters: what was learned of all workers
+		lag   time.Duration // how old a report is when it comes
+		run   float64       // the usual running time
+		usual need          // what is free
+		learn bool          // how often reports are made is not known yet
+	}
+	ask    struct{ view } // desk or door to worker: it is probed and joins the pool
+	wanted struct {       // desk to door: one more worker, -1: of any kind, zone or cell
+		kind, zone, cell int
+		view
+	}
+	listed struct { // door to worker: its entry, and whether we are one of those that notice it while cold
+		Entry
+		luck    float64
+		noticed bool
+	}
+)
+
+// place is what the list says of one worker. A fleet is large and a scheduler meets few of it: an actor for each
+// would cost memory and time for nothing.
+type place struct {
+	Entry
+	worker  *worker // nil: never met
+	luck    float64 // drawn at each of its starts
+	inOrder bool
+	version int // the last list that named it
+}
+
+type need struct{ slots, memory float64 }
+
+func (n need) plus(t float64, m need) need { return need{n.slots + t*m.slots, n.memory + t*m.memory} }
+
+type errand struct {
+	inv, fwd int
+	need
+	work, cost              float64
+	lost                    bool
+	sent, began, heard, end time.Duration // end: when its slots are free again; 0 while it is out
+}
+
+type tried struct {
+	at              int
+	sent            time.Duration
+	out, ran, stuck bool // ran: it may have run
+}
+
+// Dispatcher is one scheduler's decisions. As the door it makes ids small indices, and it follows the list.
+type Dispatcher struct {
+	house
+	inbox
+	desk                  desk
+	list                  []place
+	order                 []int // workers, shuffled: they are probed in turn
+	workerAt              map[WorkerID]int
+	invAt                 map[InvID]int
+	asks, follows         bool
+	turn, failed, version int
+	peers                 float64
+	wakeAt, within, askAt time.Duration // askAt: when to ask for the list again if nothing has come by then
+}
+
+type card struct {
+	at, zone, kind, cell     int
+	open, trial, known, full bool
+	busy, asking, noticed    bool
+	seen                     time.Duration // when it was last asked: the pool is those asked last
+	room, last, size         need          // estimate, last figure, the most seen free
+	mine, fresh, pace        float64       // how far the last figure holds; running time over hinted cost
+	warmth, spent, luck      float64       // of a cold worker: its part of capacity, our work of late
+}
+
+// worker is the actor that keeps one worker's book.
+type worker struct {
+	inbox
+	card
+	desk                         *inbox
+	id                           WorkerID
+	standing                     Standing
+	cold, aside, recheck         bool
+	startedAt, asideTill         time.Duration
+	fullTill, lastSign, probedAt time.Duration
+	figureAt, reportAt           time.Duration
+	all                          view
+	errands                      []errand
+	figures                      []need // what was free or ours at the last few reports, the last at figureAt
+	load                         Load   // the last report as it came
+	paces                        samples
+	asides, wanted               int // how often it was set aside of late; successes still wanted on trial
+	answers, missed              int // probes in a row with and without an answer
+}
+
+type operation struct {
+	weight, stretch   float64
+	objective, window time.Duration
+	late              bool // an answer after the objective still has a value
+	effect            Effect
+	scope             Scope
+	kind              int
+	ratios, sizes     samples       // running time over hinted cost, and running time, of finishes
+	most              time.Duration // the longest a client has been ready to wait
+}
+
+type inv struct {
+	need
+	id                   InvID
+	op, tenant, grown    int           // grown: its forwards, and one more, when the pool last grew for it
+	first, came, givenUp time.Duration // its first try came, this one came, its client timeout
+	work, cost, size     float64       // hinted cost, that and one deviation, effective size
+	weight, rank         float64
+	done, over           bool // answered; nothing more will be heard of it
+	tries                []tried
+}
+
+type desk struct {
+	inbox
+	door                    *Dispatcher
+	zone                    int
+	after                   time.Duration // how long a throttled client is to stay away
+	cancels, comes          bool          // comes: an invocation has come since the last look round
+	mostForwards, mostOut   int
+	budget, peers, multiple float64 // spans of a cold worker's capacity that all schedulers together may send
+	ops                     []operation
+	invs                    []inv
+	held                    []int           // by rank, highest first
+	board                   []*card         // nil: never met
+	pool, busy, spare       []int           // pool: asked last is last; busy: with work of ours, or aside; spare: of invs
+	paces                   map[int]samples // of warm workers of a kind
+	runs, gaps, changes     samples         // running times; spans between two answers, and whether a report lay there
+	all                     view
+	size, each, credit      float64       // of the pool; probes that an invocation pays for, and that may be spent
+	creditAt, viewed, left  time.Duration // left: when the last forward or first question did
+	jobs, clones            float64
+	arrivals                samples
+	refused                 map[[3]int][2]time.Duration // worker, operation, tenant: till when, for how long
+}
