Start pools at twelve, tell slow workers by their reports, ask on while work is held

Cause: a scheduler with thin traffic can't learn a slow worker from its own finishes, held work asked one more worker only once, waiting work on full workers was probed every 300 ms and set them aside, and the learning of the report span cost 16 questions. Change: running time by the workers' own reports (theirs, or busy slots over rate) stands in for pace; held work asks ever more rarely; suspicion asks at growing spans; a quarter of a worker's slots may queue on old figures (half and all of them were tried). A trace test showed a division by nothing where reports tell no rate; mended.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -2,8 +2,8 @@
 // the start, then Handle with all events of one moment, and carry the actions out in order. All decisions are
 // in this file; the interface (events, actions, what a deployment tells) is in types.go.
 //
-// The design, SRPTMS+C, decides the ordinary path: hold, rank, running set, release, clones, pool, pick. Beside
-// it stand six mechanisms:
+// The design, SRPTMS+C, decides the ordinary path: hold, rank, running set, release, clones, pool, pick.
+// Beside it stand six mechanisms:
 //  1. set-aside and trial: a worker, whole or for one tenant's operation, is judged by our own outcomes too.
 //  2. stuck work: a further forward for what sits where no answer in time is to be expected.
 //  3. pace: a worker's running time for each unit of work; a slow one gets only what it can do in time.
@@ -25,24 +25,23 @@
 const (
 	epsilon, spreadTimes, cloneShare = 0.6, 3, 0.2 // the design's: the running set's part, r, a limit on clones
 
-	beat        = 20 * time.Millisecond // how often time alone may change a decision
-	sampleCount = 16                    // measurements are the last few samples
-
-	few, reach             = 16, 8 * time.Second // workers a pool starts with; it holds what probes go round in this
-	probeFloor             = 3                   // random workers probed each second, whatever the traffic
-	probePoints            = 0.002               // points of the result that probes above the floor may cost
-	figureCount, usualLike = 8, 6                // reports kept of a worker, and that the pool's usual one stands for
-	lagTimes               = 3                   // spans between reports that one may be old when it comes
-	queueShare             = 0.5                 // of its slots, what may queue at a worker with old figures
-	sureFresh              = 0.6                 // how far a figure must hold still for a clone
-	crowd                  = 16                  // schedulers, of all, that may take notice of a cold worker
-
-	asideFirst, asideMost  = 500 * time.Millisecond, 8 * time.Second // a set-aside's span; each next one doubles it
-	asideProbes, trialRuns = 2, 3                                    // answers to come back, successes to count in full
-	awaySpan               = time.Second                             // what a throttled client is told to wait
-	patience               = 300 * time.Millisecond                  // for a sign that is due
-	hintLow                = 1.4                                     // how far work lies over hinted cost in the middle
-	waitShare              = 0.5                                     // of the slack that own work gives, for waiting
+	beat                   = 20 * time.Millisecond // how often time alone may change a decision
+	sampleCount            = 16                    // measurements are the last few samples
+	few, reach             = 12, 8 * time.Second   // a pool's first workers; it holds what probes go round in
+	probeFloor             = 3                     // random workers probed each second, whatever the traffic
+	probePoints            = 0.002                 // points of the result that probes above the floor may cost
+	figureCount, usualLike = 8, 6                  // reports kept, and that the pool's usual one stands for
+	lagTimes               = 3                     // spans between reports that one may be old when it comes
+	queueShare             = 0.25                  // of a worker's slots, what may queue there on old figures
+	sureFresh              = 0.6                   // how far a figure must hold still for a clone
+	crowd                  = 16                    // schedulers, of all, that may take notice of a cold worker
+	asideProbes, trialRuns = 2, 3                  // answers until it is on trial, successes until it is in full
+	awaySpan               = time.Second           // what a throttled client is told to wait
+	hintLow                = 1.4                   // how far work lies over hinted cost in the middle
+	waitShare              = 0.5                   // of the slack that own work gives, what waiting may use
+
+	asideFirst, asideMost = 500 * time.Millisecond, 8 * time.Second // a set-aside's span, doubled each time
+	patience              = 300 * time.Millisecond                  // for a sign that is due
 )
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -57,13 +56,13 @@
 		progress: dep.Progress, tellsStart: dep.TellsStart, coldFrom: dep.Rules.ColdFrom,
 		warmAfter: dep.Rules.WarmAfter}
 	d.inbox = inbox{house: &d.house, read: d.read}
-	// The list service takes only so many calls at once: the first ones are spread, well inside the stated time.
+	// The list service takes only so many calls at once: the first are spread, inside the stated time.
 	d.askAt = time.Duration(d.rng.Float64() * min(float64(d.within/2), (d.peers-1)*float64(beat)))
-	d.desk = desk{inbox: inbox{house: &d.house, read: d.desk.read}, door: d, zone: dep.Zone, arrivals: samples{0},
+	d.desk = desk{inbox: inbox{house: &d.house, read: d.desk.read}, door: d, zone: dep.Zone,
 		cancels: dep.Allowed.Cancel, mostOut: dep.Allowed.MaxOut, mostForwards: max(1, dep.Allowed.MaxForwards),
 		after: min(dep.Allowed.MaxRetryAfter, awaySpan), refused: map[[3]int][2]time.Duration{},
-		each: probePoints / max(dep.ProbePrice, probePoints/4), size: few, credit: few, paces: map[int]samples{},
-		peers: d.peers, multiple: max(1, dep.Rules.FallMultiple),
+		each: probePoints / max(dep.ProbePrice, probePoints/4), arrivals: samples{0}, size: few, credit: few,
+		paces: map[int]samples{}, peers: d.peers, multiple: max(1, dep.Rules.FallMultiple),
 		budget: dep.Rules.FallMultiple * dep.Rules.Fall.Seconds()}
 	for _, o := range dep.Operations {
 		d.desk.ops = append(d.desk.ops, operation{weight: cmp.Or(max(0, o.BilledValue), 1), stretch: o.Stretch,
@@ -142,7 +141,7 @@
 	return p.worker
 }
 
-// next asks the worker whose turn it is, by chance apart in each instance: one in all pools would draw a crowd.
+// next asks the worker whose turn it is, which chance sets: one in all schedulers' pools would draw a crowd.
 func (d *Dispatcher) next(w wanted) {
 	for n := 0; n < len(d.order); {
 		here, turn := (d.turn+n)%len(d.order), d.turn%len(d.order)
@@ -352,6 +351,9 @@
 	// What fails fast leaves its slots free: they are counted as if it had run.
 	free := need{math.Round(load.FreeSlots - load.Waiting - load.Errors*w.all.run), load.FreeMemory}
 	w.size = need{max(w.size.slots, free.slots), max(w.size.memory, free.memory)}
+	if w.service = load.ServiceTime; load.Rate > 0 {
+		w.service = (w.size.slots - load.FreeSlots) / load.Rate
+	}
 	w.figure(w.now-w.all.lag, free)
 	oldest := w.now - max(w.all.lag, w.window)
 	w.errands = slices.DeleteFunc(w.errands, func(e errand) bool { return e.end != 0 && e.end < oldest })
@@ -418,10 +420,9 @@
 // watch looks for overdue signs. A hung worker shows the most free slots and would draw all work, but a busy
 // one must not lose its place: suspicion asks, silence beyond what waiting explains decides.
 func (w *worker) watch() {
-	suspect, most := false, 3*w.all.run*max(1, w.pace)
+	longest, most := time.Duration(0), 3*w.all.run*max(1, w.pace)
 	if w.load.FreeSlots <= 0 {
-		// A full one has reason to be silent, the more the longer its queue: where traffic is thin no other
-		// invocation of ours there shows that it is at work.
+		// In thin traffic nothing else of ours shows that a full one is at work: its queue explains silence.
 		most *= 2 + w.load.Waiting/max(1, w.size.slots)
 	}
 	for i := range w.errands {
@@ -440,11 +441,11 @@
 			due += seconds(4 * e.work * max(1, w.pace))
 		}
 		silent := w.now - max(due, w.lastSign) - patience
-		if suspect = suspect || silent > 0; silent > seconds(most) {
+		if longest = max(longest, silent); silent > seconds(most) {
 			w.setAside("silent", true)
 		}
 	}
-	if past := w.now - w.probedAt; w.recheck && past >= beat || suspect && past >= patience ||
+	if past := w.now - w.probedAt; w.recheck && past >= beat || longest > 0 && past >= max(patience, longest) ||
 		w.aside && w.now >= w.asideTill && past >= asideFirst/2 {
 		w.recheck = false
 		w.probe()
@@ -495,7 +496,10 @@
 	if more := n.at + 1 - len(k.board); more > 0 {
 		k.board = append(k.board, make([]*card, more)...)
 	}
-	n.pace = cmp.Or(n.pace, k.paces[n.kind].at(0.5), 1) / n.warmth
+	if n.pace == 0 { // its reports may show that it is slow, long before the few finishes of thin traffic do
+		n.pace = cmp.Or(k.paces[n.kind].at(0.5), 1) * max(1, n.service/max(k.all.service, n.service/8, 1e-6)/2)
+	}
+	n.pace /= n.warmth
 	old := k.board[n.at]
 	if old == nil {
 		old = &card{seen: -1}
@@ -536,17 +540,18 @@
 	if k.now < k.viewed+beat {
 		return
 	}
-	var slots, memory samples
+	var slots, memory, service samples
 	for _, at := range k.pool {
 		if c := k.board[at]; c.known {
 			slots.add(c.last.slots)
 			memory.add(c.last.memory)
+			service.add(c.service)
 		}
 	}
 	// The usual is a middle, as the queue of one that hangs would drag a mean down.
-	k.viewed, k.all = k.now, view{run: cmp.Or(k.runs.mean(), 1), learn: len(k.gaps) < sampleCount,
-		usual: need{slots.at(0.5), memory.at(0.5)},
-		lag:   seconds(lagTimes * (patience.Seconds() + k.gaps.sum()) / (1 + k.changes.sum()))}
+	k.viewed, k.all = k.now, view{run: cmp.Or(k.runs.mean(), 1), learn: len(k.gaps) < sampleCount/2,
+		usual: need{slots.at(0.5), memory.at(0.5)}, service: service.at(0.5),
+		lag: seconds(lagTimes * (patience.Seconds() + k.gaps.sum()) / (1 + k.changes.sum()))}
 	k.busy = slices.DeleteFunc(k.busy, func(at int) bool { return !k.board[at].busy })
 	look := k.busy
 	if len(k.held) > 0 {
@@ -567,7 +572,9 @@
 	j.first = k.now - (o.most - a.Budget)
 	k.jobs++
 	k.arrivals.add(k.now.Seconds())
-	k.comes, k.credit = true, k.credit+k.each
+	if k.comes = true; k.credit+probeFloor*(k.now-k.creditAt).Seconds() < 1 { // the floor's have been spent
+		k.credit += k.each
+	}
 	k.hold(i)
 }
 
@@ -584,7 +591,7 @@
 	k.held = slices.DeleteFunc(k.held, func(other int) bool { return other == i })
 }
 
-// live counts the forwards that are out. first may have run: it fixes group and window of what is deduplicated.
+// live counts the forwards that are out. first is the first that may have run.
 func (j *inv) live() (out int, first *tried) {
 	for f := range j.tries {
 		t := &j.tries[f]
@@ -630,9 +637,7 @@
 	o := &k.ops[j.op]
 	most := o.objective
 	for _, at := range k.pool {
-		if c := k.board[at]; o.kind < 0 || o.kind == c.kind {
-			most = max(most, k.slack(j, c.pace))
-		}
+		most = max(most, k.slack(j, k.board[at].pace))
 	}
 	return k.now+2*beat >= j.givenUp || !o.late && k.now-j.first > most
 }
@@ -754,17 +759,16 @@
 	}
 }
 
-// grow adds a worker when those of the pool are all busy, once for a forward, as the whole fleet may be.
+// grow adds a worker when those of the pool are all busy, ever more rarely, as the whole fleet may be.
 func (k *desk) grow(j *inv) {
-	if j.grown <= len(j.tries) {
-		j.grown = len(j.tries) + 1
+	if k.now >= j.askAt {
+		j.askAt = k.now + 2*beat + 2*(k.now-j.came)
 		k.size++
 		k.door.put(k.wants(j))
 	}
 }
 
-// wants tells which workers may have an invocation next. The first forward that may have run fixes the group of
-// what is deduplicated.
+// wants tells which workers may have an invocation next; its first forward that may have run fixes the group.
 func (k *desk) wants(j *inv) wanted {
 	o, w := &k.ops[j.op], wanted{k.ops[j.op].kind, -1, -1, k.all}
 	if _, first := j.live(); first != nil && o.effect == Deduplicated && o.scope == ScopeZone {
@@ -786,8 +790,8 @@
 	k.do(Forward{j.id, k.door.list[at].Worker})
 	k.left = k.now
 	c.room, c.mine, c.spent = c.room.plus(-1, j.need), c.mine+j.slots, c.spent+j.cost
-	k.door.list[at].worker.put(sent{errand{inv: i, fwd: len(j.tries) - 1, need: j.need, work: j.work, cost: j.cost,
-		sent: k.now}})
+	k.door.list[at].worker.put(sent{errand{inv: i, fwd: len(j.tries) - 1, need: j.need, work: j.work,
+		cost: j.cost, sent: k.now}})
 }
 
 // pick gives -1 where no room seems free. roomy: over half the pooled workers show room.
@@ -846,8 +850,8 @@
 		(c.warmth == 1 || k.warms(j, c))
 }
 
-// warms tells whether a cold worker may get an invocation if all others send too: it fits our even part of the
-// budget, or chance has made us one of the few that may send one in a span. These are so many that three
+// warms tells whether a cold worker may get an invocation if all others send too: it fits our even part of
+// its budget, or chance has made us one of the few that may send one in a span. These are so many that three
 // deviations more of them fit the budget, and their mean what the worker can do.
 func (k *desk) warms(j *inv, c *card) bool {
 	budget := k.budget * max(1, c.size.slots) / c.pace
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -303,7 +303,7 @@
 	tick   struct{}                   // time has passed
 	choose struct{}                   // all that has happened at this moment is in
 	alarm  struct{ at time.Duration } // desk to door: when time alone may change a decision
-	about  struct {                   // door to desk or worker, and on from a worker to the desk with the running time
+	about  struct {                   // door to desk or worker, and on to the desk with the running time
 		inv   int
 		event Event
 		ran   time.Duration
@@ -313,10 +313,11 @@
 	stuck struct{ inv, fwd int }         // worker to desk: no answer is to be expected soon
 	pair  struct{ gap, changed float64 } // worker to desk: two answers in a row, with one report or two
 	view  struct {                       // desk to worker, while it matters: what was learned of all workers
-		lag   time.Duration // how old a report is when it comes
-		run   float64       // the usual running time
-		usual need          // what is free
-		learn bool          // how often reports are made is not known yet
+		lag     time.Duration // how old a report is when it comes
+		run     float64       // the usual running time
+		usual   need          // what is free
+		service float64       // running time by reports
+		learn   bool          // how often reports are made is not known yet
 	}
 	ask    struct{ view } // desk or door to worker: it is probed and joins the pool
 	wanted struct {       // desk to door: one more worker, -1: of any kind, zone or cell
@@ -330,8 +331,8 @@
 	}
 )
 
-// place is what the list says of one worker. A fleet is large and a scheduler meets few of it: an actor for each
-// would cost memory and time for nothing.
+// place is what the list says of one worker. A fleet is large and a scheduler meets few of it: an actor for
+// each would cost memory and time for nothing.
 type place struct {
 	Entry
 	worker  *worker // nil: never met
@@ -379,6 +380,7 @@
 	busy, asking, noticed    bool
 	seen                     time.Duration // when it was last asked: the pool is those asked last
 	room, last, size         need          // estimate, last figure, the most seen free
+	service                  float64       // running time by its reports
 	mine, fresh, pace        float64       // how far the last figure holds; running time over hinted cost
 	warmth, spent, luck      float64       // of a cold worker: its part of capacity, our work of late
 }
@@ -417,8 +419,9 @@
 type inv struct {
 	need
 	id                   InvID
-	op, tenant, grown    int           // grown: its forwards, and one more, when the pool last grew for it
+	op, tenant           int
 	first, came, givenUp time.Duration // its first try came, this one came, its client timeout
+	askAt                time.Duration // when one more worker may be asked for its sake
 	work, cost, size     float64       // hinted cost, that and one deviation, effective size
 	weight, rank         float64
 	done, over           bool // answered; nothing more will be heard of it
@@ -437,11 +440,11 @@
 	invs                    []inv
 	held                    []int           // by rank, highest first
 	board                   []*card         // nil: never met
-	pool, busy, spare       []int           // pool: asked last is last; busy: with work of ours, or aside; spare: of invs
+	pool, busy, spare       []int           // asked last is last; with work of ours or aside; of invs
 	paces                   map[int]samples // of warm workers of a kind
-	runs, gaps, changes     samples         // running times; spans between two answers, and whether a report lay there
+	runs, gaps, changes     samples         // running times; spans between answers, with a new report or none
 	all                     view
-	size, each, credit      float64       // of the pool; probes that an invocation pays for, and that may be spent
+	size, each, credit      float64       // of the pool; probes an invocation pays for, and in hand
 	creditAt, viewed, left  time.Duration // left: when the last forward or first question did
 	jobs, clones            float64
 	arrivals                samples
