--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -36,7 +36,7 @@
 	hintLow, waitShare      = 1.4, 0.5            // work over hinted cost in the middle; slack for waiting
 
 	beat, patience       = 20 * time.Millisecond, 300 * time.Millisecond // time alone decides; a sign is due
-	asideFirst, awaySpan = 500 * time.Millisecond, time.Second           // set aside, doubled; a throttled client
+	asideFirst, awaySpan = 500 * time.Millisecond, time.Second           // set aside; throttled
 	asideMost            = 8 * time.Second
 )
 
