--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -26,11 +26,11 @@
 	epsilon, spreadTimes, cloneShare = 0.6, 3, 0.2 // the design's: the running set's part, r, a limit on clones
 
 	sampleCount             = 16                  // measurements are the last few samples
-	few, reach              = 12, 8 * time.Second // a pool's first workers; it holds what probes go round in
+	few, reach              = 16, 8 * time.Second // a pool's first workers; it holds what probes go round in
 	probeFloor, probePoints = 3, 0.002            // probes a second; points of the result that more may cost
 	figureCount, usualLike  = 8, 6                // reports kept, and that the pool's usual one stands for
 	lagTimes                = 3                   // spans between reports that one may be old when it comes
-	queueShare, sureFresh   = 0.25, 0.6           // what may queue on old figures; how far they hold for a clone
+	queueShare, sureFresh   = 0.5, 0.6            // what may queue on old figures; how far they hold for a clone
 	crowd                   = 16                  // schedulers, of all, that may take notice of a cold worker
 	asideProbes, trialRuns  = 2, 3                // answers until it is on trial, successes until in full
 	hintLow, waitShare      = 1.4, 0.5            // work over hinted cost in the middle; slack for waiting
--- a/dispatch/trace_test.go
+++ b/dispatch/trace_test.go
@@ -68,14 +68,14 @@
 	asked(4, 4, 4.1, "a third would be under a fifth", job(16, 0, 0.2))
 	asked(4, 4, 4.2, "a fourth would not; and only the running set", job(17, 0, 0.2), job(18, 0, 0.2))
 	// Output:
-	// no figure yet: 11 to a
-	// room, but not idempotent: 12 to c
-	// room and idempotent: 13 to b; 13 to c
+	// no figure yet: 11 to b
+	// room, but not idempotent: 12 to b
+	// room and idempotent: 13 to c; 13 to a
 	// the first answer: 13 cancels forward 0
 	// room at a third of the workers: 14 to c
 	// the second of fifteen: 15 to a; 15 to b
-	// a third would be under a fifth: 16 to c; 16 to a
-	// a fourth would not; and only the running set: 17 to a; 18 to b
+	// a third would be under a fifth: 16 to a; 16 to c
+	// a fourth would not; and only the running set: 17 to b; 18 to a
 }
 
 // The pick: most free slots less our sends, own zone among equals; one new to the pool counts at the mean.
@@ -190,7 +190,7 @@
 	// 10ms 1 to a
 	// 20ms 2 to b
 	// 40ms 3 to b
-	// 110ms 1 to a
+	// 100ms 1 to a
 }
 
 // A worker that has just started gets our part of what it can do now, and one heavy invocation can be too much.
@@ -412,11 +412,11 @@
 	p.at(p.now+ms, Listing{Form: ListDelta, Entries: []Entry{drains}})
 	size("one drains")
 	// Output:
-	// at the start: 12 of 200
-	// after 20 s without invocations: 12 of 200
+	// at the start: 16 of 200
+	// after 20 s without invocations: 16 of 200
 	// the same workers: false
-	// five invocations while all are busy: 26 of 200
-	// one drains: 25 of 200
+	// five invocations while all are busy: 30 of 200
+	// one drains: 29 of 200
 }
 
 // What an event costs must not grow with the fleet: the workers met and those that get notes are the same few.
@@ -439,8 +439,8 @@
 		fmt.Println(n, "workers, notes that they read for an invocation:", reads/20)
 	}
 	// Output:
-	// 50 workers, notes that they read for an invocation: 46
-	// 250 workers, notes that they read for an invocation: 46
+	// 50 workers, notes that they read for an invocation: 50
+	// 250 workers, notes that they read for an invocation: 50
 }
 
 // With so many schedulers that an even part of a cold worker's budget is less than one invocation, chance lets as
