--- /dev/null
+++ b/cmd/stoatweir/main.go
@@ -0,0 +1,45 @@
+// Command stoatweir is one scheduler: it takes invocations in from clients and sends them to workers as the module
+// decides.
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"stoatweir/internal/settings"
+)
+
+func main() {
+	log := logrus.New()
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
+		TimestampFormat: "15:04:05.000"})
+	node, err := settings.ReadNode(os.Getenv)
+	if err != nil {
+		log.WithError(err).Fatal("the configuration can't be used")
+	}
+	runtime.GOMAXPROCS(1) // one core is ours; more threads would only take turns on it
+	debug.SetMemoryLimit(int64(node.MemoryMB) << 20 * 6 / 10)
+	s := newService(node, log.WithField("node", node.Name))
+	listener, err := net.Listen("tcp", node.Listen)
+	if err != nil {
+		log.WithError(err).Fatal("can't listen")
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		for range signals {
+			s.loop.Put(stop{s})
+		}
+	}()
+	if err := s.run(listener); err != nil {
+		log.WithError(err).Fatal("can't serve")
+	}
+	fmt.Fprintf(os.Stderr, "%s\n", s.report())
+}
--- /dev/null
+++ b/cmd/stoatweir/service.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sirupsen/logrus"
+
+	"stoatweir/dispatch"
+	"stoatweir/internal/clients"
+	"stoatweir/internal/conn"
+	"stoatweir/internal/discovery"
+	"stoatweir/internal/settings"
+	"stoatweir/internal/workers"
+)
+
+const (
+	otherFiles  = 24                     // descriptors that are no connections: standard ones, poller, listener
+	listWithin  = time.Second            // a start waits so long for the list before it trusts the known one
+	acceptAfter = 800 * time.Millisecond // connections go on coming after the order to stop
+	leaveMost   = 3 * time.Second
+	leaveMargin = 400 * time.Millisecond // between the longest wait of a client and our end: no kill comes before
+)
+
+// service is the wiring: one loop owns the module, hands it what has happened and carries out what it decides.
+type service struct {
+	loop   *conn.Loop
+	log    *logrus.Entry
+	core   *dispatch.Dispatcher
+	door   *clients.Door
+	fleet  *workers.Fleet
+	list   *discovery.Watcher
+	site   settings.Site
+	known  []byte
+	events []dispatch.Event
+	jobs   map[dispatch.InvID]*job
+	wake   *conn.Alarm
+	last   time.Duration // when the module was last asked
+
+	heard, leaving bool // heard: discovery has told of the list
+	waits, thinks  *hdrhistogram.Histogram
+}
+
+// job is an invocation while the module may still speak of it.
+type job struct {
+	*workers.Job
+	forwards, out int
+}
+
+func newService(node settings.Node, log *logrus.Entry) *service {
+	start := time.Now()
+	sockets := node.Sockets - otherFiles
+	loop := conn.NewLoop(start, sockets)
+	s := &service{loop: loop, log: log, site: node.Site, known: node.Known, jobs: map[dispatch.InvID]*job{},
+		core: dispatch.New(node.Site.Deployment, node.Seed), last: -1,
+		door:  clients.New(loop, node.Site, sockets/2),
+		fleet: workers.NewFleet(loop, node.Site, sockets/4),
+		list:  discovery.New(loop, node.Discovery, node.Site.Zones, node.Site.Kinds, start),
+		waits: hdrhistogram.New(1, time.Minute.Microseconds(), 3), thinks: hdrhistogram.New(1, 1e7, 2)}
+	event := func(e dispatch.Event) { s.events = append(s.events, e) }
+	s.door.Event, s.fleet.Event = event, event
+	s.door.Took = func(j *workers.Job) { s.jobs[j.Inv] = &job{Job: j} }
+	s.door.News, s.door.Report = s.fleet.Take, s.report
+	s.door.Served = func(t time.Duration) { s.waits.RecordValue(t.Microseconds()) }
+	s.door.Ready = func() bool { return s.heard }
+	s.fleet.Deliver, s.fleet.Owed = s.door.Deliver, s.door.Owed
+	s.list.Told = s.told
+	s.list.Failed = func(why string) { log.Warn("the watch of the list has failed: ", why) }
+	return s
+}
+
+// run serves until the order to stop has been carried out.
+func (s *service) run(l net.Listener) error {
+	if len(s.known) > 0 {
+		list, err := s.list.Parse(s.known)
+		if err != nil {
+			return fmt.Errorf("known: %w", err)
+		}
+		list.Form = dispatch.ListWhole
+		s.fleet.List(list)
+		s.events = append(s.events, list.Listing())
+	}
+	// Known workers may be long gone: a fresh list is worth a moment, but with discovery down we must serve too.
+	s.loop.After(listWithin, func() { s.heard = true })
+	if s.site.Deployment.Pushed {
+		s.list.Watch() // the module does not ask where changes come unasked; here all is asked for
+	}
+	s.events = append(s.events, dispatch.Due{}) // the module has things to begin, also where nothing is known
+	s.decide()
+	s.door.Listen(l)
+	s.loop.Run(s.decide)
+	return nil
+}
+
+// told takes news of the list in.
+func (s *service) told(list discovery.List) {
+	if list.Form != dispatch.ListFailed {
+		s.heard = true
+		s.fleet.List(list)
+	} else if s.site.Deployment.Pushed {
+		s.loop.After(listWithin/4, s.list.Watch)
+	}
+	s.events = append(s.events, list.Listing())
+}
+
+// decide asks the module for as long as something has happened; what it orders can make things happen.
+func (s *service) decide() {
+	for len(s.events) > 0 {
+		events := s.events
+		s.events = nil
+		now := max(s.loop.Now(), s.last+1)
+		s.last = now
+		began := time.Now()
+		actions := s.core.Handle(now, events)
+		s.thinks.RecordValue(time.Since(began).Microseconds())
+		for _, event := range events {
+			s.ended(event)
+		}
+		for _, action := range actions {
+			s.carryOut(action)
+		}
+	}
+}
+
+// ended lets a job go when its client has its answer and no forward is out.
+func (s *service) ended(event dispatch.Event) {
+	inv, _ := event.About()
+	if j := s.jobs[inv]; j != nil {
+		if _, is := event.(dispatch.Outcome); is {
+			j.out--
+		}
+		if j.out <= 0 && !s.door.Owed(inv) {
+			delete(s.jobs, inv)
+		}
+	}
+}
+
+func (s *service) carryOut(action dispatch.Action) {
+	switch a := action.(type) {
+	case dispatch.Forward:
+		if j := s.jobs[a.Inv]; j != nil {
+			j.forwards++
+			j.out++
+			s.fleet.Forward(j.Job, j.forwards-1, a.Worker)
+		}
+	case dispatch.Throttled:
+		s.door.Throttle(a.Inv, a.After)
+		s.answered(a.Inv)
+	case dispatch.Errored:
+		s.door.Fail(a.Inv)
+		s.answered(a.Inv)
+	case dispatch.Cancel:
+		s.fleet.Cancel(a.Inv, a.Forward)
+	case dispatch.Probe:
+		s.fleet.Probe(a.Worker)
+	case dispatch.Wake:
+		s.wake.Stop()
+		s.wake = s.loop.After(a.At-s.loop.Now(), func() { s.events = append(s.events, dispatch.Due{}) })
+	case dispatch.Follow:
+		s.list.Watch()
+	case dispatch.Log:
+		s.log.Info(a.Text)
+	}
+}
+
+func (s *service) answered(inv dispatch.InvID) {
+	if j := s.jobs[inv]; j != nil && j.out <= 0 {
+		delete(s.jobs, inv)
+	}
+}
+
+// stop is the order to end. Clients go on coming for a while and what is in hand is still worth serving; what can't
+// be served in time is answered as errored, which promises nothing, well before a kill would lose it.
+type stop struct{ *service }
+
+// Take begins the end.
+func (n stop) Take() {
+	s := n.service
+	if s.leaving {
+		return
+	}
+	s.leaving = true
+	s.log.Info("told to stop: ", s.door.InHand(), " in hand")
+	last := s.loop.Now() + min(max(s.site.LongestTimeout, acceptAfter), leaveMost)
+	s.door.Leave(last)
+	s.loop.After(acceptAfter, s.leave)
+	s.loop.After(last-s.loop.Now(), s.door.FailAll)
+	s.loop.After(last+leaveMargin-s.loop.Now(), s.loop.Stop)
+}
+
+func (s *service) leave() {
+	if s.door.InHand() == 0 && !s.door.Unsent() {
+		s.loop.Stop()
+		return
+	}
+	s.loop.After(10*time.Millisecond, s.leave)
+}
+
+// report is the counters as JSON.
+func (s *service) report() []byte {
+	spread := func(h *hdrhistogram.Histogram) map[string]int64 {
+		return map[string]int64{"p50": h.ValueAtQuantile(50), "p90": h.ValueAtQuantile(90),
+			"p99": h.ValueAtQuantile(99), "max": h.Max()}
+	}
+	text, err := json.Marshal(map[string]any{
+		"clients": s.door.Counts, "workers": s.fleet.Counts, "watches": s.list.Calls, "in_hand": s.door.InHand(),
+		"out": s.fleet.Out(), "sockets": s.loop.Sockets(), "served_us": spread(s.waits),
+		"decided_us": spread(s.thinks),
+	})
+	if err != nil {
+		return []byte("{}")
+	}
+	return text
+}
--- /dev/null
+++ b/internal/clients/clients.go
@@ -0,0 +1,427 @@
+// Package clients takes invocations in from their clients, and workers' news, which comes to the same address.
+package clients
+
+import (
+	"encoding/json"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"stoatweir/dispatch"
+	"stoatweir/internal/conn"
+	"stoatweir/internal/http1"
+	"stoatweir/internal/settings"
+	"stoatweir/internal/workers"
+)
+
+const (
+	newsPath, readyPath, countsPath = "/_jobs/news", "/-/ready", "/-/counts"
+
+	// early is how long before its client stops waiting an invocation counts as given up: the request was on its way
+	// before its first byte was read here, and the answer has a way to go too.
+	early = 5 * time.Millisecond
+	// overdue is how long after that the door answers by itself, should the decisions not have.
+	overdue  = 25 * time.Millisecond
+	readIn   = 5 * time.Second // a request has to be whole by then
+	spare    = 8               // descriptors that accepting leaves
+	maxTimes = 1e6             // seconds of a budget
+)
+
+// Counts of what was taken in and how it was answered.
+type Counts struct {
+	Connections, TakenIn, Succeeded, Throttled, Errored, Left, Overdue, Malformed, Crowded int
+}
+
+// Door is where clients and workers' news come in.
+type Door struct {
+	Event  func(dispatch.Event)
+	Took   func(*workers.Job)  // an invocation has come; the event follows
+	News   func(workers.News)  // of a worker
+	Served func(time.Duration) // how long a client waited for its worker's result
+	Ready  func() bool
+	Report func() []byte // the counters, for people
+	Counts Counts
+
+	loop       *conn.Loop
+	site       settings.Site
+	operations map[string]int
+	tenants    map[string]int
+	listener   net.Listener
+	more       chan struct{} // lets the listener accept one more
+	waits      bool          // for a descriptor
+	most       int           // invocations in hand
+	last       dispatch.InvID
+	inHand     map[dispatch.InvID]*inHand
+	ids        map[string]bool
+	visits     map[*visit]struct{}
+	leavesAt   time.Duration // 0: not leaving
+}
+
+type inHand struct {
+	id      string
+	visit   *visit
+	came    time.Duration
+	overdue *conn.Alarm
+}
+
+// New makes a door that is shut. most is how many invocations may be in hand at once.
+func New(loop *conn.Loop, site settings.Site, most int) *Door {
+	d := &Door{loop: loop, site: site, most: most, operations: map[string]int{}, tenants: map[string]int{},
+		inHand: map[dispatch.InvID]*inHand{}, ids: map[string]bool{}, visits: map[*visit]struct{}{},
+		more: make(chan struct{}, 1)}
+	for i, name := range site.Operations {
+		d.operations[name] = i
+	}
+	for i, name := range site.Tenants {
+		d.tenants[name] = i
+	}
+	loop.Freed = func() {
+		if d.waits {
+			d.accept()
+		}
+	}
+	return d
+}
+
+type accepted struct {
+	*Door
+	net net.Conn
+}
+
+// Listen opens the door. The listener waits for leave before each connection, so that descriptors are never short.
+func (d *Door) Listen(l net.Listener) {
+	d.listener = l
+	go func() {
+		for range d.more {
+			nc, err := l.Accept()
+			if err != nil {
+				nc = nil // a client that left while it waited, or the end: the loop says what follows
+			}
+			d.loop.Put(accepted{d, nc})
+		}
+	}()
+	d.accept()
+}
+
+// Take takes a connection in.
+func (a accepted) Take() {
+	d := a.Door
+	if a.net == nil {
+		d.loop.After(time.Millisecond, d.accept) // not at once, as the error may last
+		return
+	}
+	d.Counts.Connections++
+	v := &visit{door: d}
+	d.visits[v] = struct{}{}
+	v.c = d.loop.Adopt(a.net, v)
+	v.c.Idle(true)
+	d.accept()
+}
+
+func (d *Door) accept() {
+	if d.waits = !d.loop.Spare(spare); !d.waits {
+		d.more <- struct{}{}
+	}
+}
+
+// Owed tells whether a client still waits for the answer.
+func (d *Door) Owed(inv dispatch.InvID) bool { return d.inHand[inv] != nil }
+
+// InHand counts the invocations that are owed an answer.
+func (d *Door) InHand() int { return len(d.inHand) }
+
+// Deliver is the answer with a worker's result.
+func (d *Door) Deliver(inv dispatch.InvID, result string) {
+	if j := d.inHand[inv]; j != nil {
+		d.Counts.Succeeded++
+		d.Served(d.loop.Now() - j.came)
+		d.answer(inv, 200, []byte(result))
+	}
+}
+
+// Throttle says that asking again is harmless.
+func (d *Door) Throttle(inv dispatch.InvID, after time.Duration) {
+	if d.inHand[inv] == nil {
+		return
+	}
+	d.Counts.Throttled++
+	var fields []http1.Field
+	if after > 0 {
+		fields = []http1.Field{{Name: "Retry-After", Value: strconv.FormatFloat(after.Seconds(), 'f', -1, 64)}}
+	}
+	d.answer(inv, 503, nil, fields...)
+}
+
+// Fail promises nothing.
+func (d *Door) Fail(inv dispatch.InvID) {
+	if d.inHand[inv] != nil {
+		d.Counts.Errored++
+		d.answer(inv, 500, nil)
+	}
+}
+
+func (d *Door) answer(inv dispatch.InvID, status int, body []byte, fields ...http1.Field) {
+	v := d.inHand[inv].visit
+	d.forget(inv)
+	v.inv = 0
+	v.answer(status, body, fields...)
+}
+
+func (d *Door) forget(inv dispatch.InvID) {
+	j := d.inHand[inv]
+	j.overdue.Stop()
+	delete(d.inHand, inv)
+	delete(d.ids, j.id)
+}
+
+// Leave begins the end: readiness is withdrawn, idle connections close and every answer closes its own. What comes
+// meanwhile is still served, but not beyond the time given.
+func (d *Door) Leave(by time.Duration) {
+	d.leavesAt = by
+	for v := range d.visits {
+		if v.inv == 0 && !v.parser.Started() && v.c.In.Len() == 0 && v.c.Unsent() == 0 {
+			v.quit()
+		}
+	}
+}
+
+// FailAll answers whatever is still owed.
+func (d *Door) FailAll() {
+	for inv := range d.inHand {
+		d.Fail(inv)
+		d.Event(dispatch.Withdrawn{Inv: inv})
+	}
+}
+
+// Unsent tells whether answers are still on their way out.
+func (d *Door) Unsent() bool {
+	for v := range d.visits {
+		if v.c.Unsent() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// visit is one connection from a client, or from a worker with news.
+type visit struct {
+	door   *Door
+	c      *conn.Conn
+	parser http1.Parser
+	inv    dispatch.InvID // 0: nothing in hand
+	last   bool           // the connection ends with the present answer
+	slow   *conn.Alarm
+}
+
+// Up has nothing to do.
+func (v *visit) Up(*conn.Conn) {}
+
+// Sent makes the connection one that may be closed for want of descriptors.
+func (v *visit) Sent(c *conn.Conn) {
+	if v.inv == 0 && !v.parser.Started() {
+		c.Idle(true)
+	}
+}
+
+// Down of a client with an invocation in hand: it has gone away.
+func (v *visit) Down(_ *conn.Conn, e conn.Ending) {
+	d := v.door
+	delete(d.visits, v)
+	v.slow.Stop()
+	if v.inv != 0 && d.Owed(v.inv) {
+		d.Counts.Left++
+		d.forget(v.inv)
+		d.Event(dispatch.Withdrawn{Inv: v.inv})
+	}
+}
+
+func (v *visit) quit() {
+	delete(v.door.visits, v)
+	v.slow.Stop()
+	v.c.Quit()
+}
+
+// Read takes a request in. One at a time: what follows before the answer stays in the ring, and the connection ends
+// with that answer, as clients wait for answers and a front that does not could mix them up.
+func (v *visit) Read(c *conn.Conn) {
+	v.c = c
+	c.Idle(false)
+	for c.In.Len() > 0 && v.inv == 0 && !v.last {
+		n, step, err := v.parser.Feed(c.In.Bytes())
+		c.In.Drop(n)
+		if err != nil {
+			v.malformed(err.(*http1.Bad).Status)
+			return
+		}
+		if step == http1.Whole {
+			v.slow.Stop()
+			v.slow = nil
+			m := v.parser.Message
+			v.last = m.Close
+			v.take(m)
+		}
+	}
+	if v.inv != 0 && c.In.Len() > 0 {
+		v.last = true
+	}
+	if v.parser.Started() && v.slow == nil {
+		v.slow = v.door.loop.After(readIn, func() { v.malformed(408) })
+	}
+}
+
+func (v *visit) malformed(status int) {
+	v.door.Counts.Malformed++
+	v.last = true
+	v.answer(status, nil)
+}
+
+func (v *visit) answer(status int, body []byte, fields ...http1.Field) {
+	if v.last = v.last || v.door.leavesAt > 0; v.last {
+		fields = append(fields, http1.Field{Name: "Connection", Value: "close"})
+	}
+	v.c.Write(http1.Answer(status, body, fields...))
+	if v.last {
+		v.quit()
+	}
+}
+
+func (v *visit) take(m *http1.Message) {
+	d := v.door
+	path, _, _ := strings.Cut(m.Target, "?")
+	switch {
+	case path == newsPath:
+		v.news(m)
+	case path == readyPath && d.leavesAt == 0 && d.Ready():
+		v.answer(200, nil)
+	case path == readyPath:
+		v.answer(503, nil)
+	case path == countsPath:
+		v.answer(200, d.Report(), http1.Field{Name: "Content-Type", Value: "application/json"})
+	case m.Method != "POST":
+		v.refuse(405)
+	default:
+		v.job(m, path)
+	}
+}
+
+func (v *visit) refuse(status int) {
+	v.door.Counts.Malformed++
+	v.answer(status, nil)
+}
+
+func (v *visit) news(m *http1.Message) {
+	var in struct {
+		ID, From, State string
+		Share           float64
+		Result          *string
+		Load            json.RawMessage
+	}
+	if m.Method != "POST" || json.Unmarshal(m.Body, &in) != nil {
+		v.refuse(400)
+		return
+	}
+	n := workers.News{ID: in.ID, From: in.From, State: in.State, Share: in.Share, Result: in.Result}
+	if len(in.Load) > 0 {
+		n.Load = v.door.site.Report.Parse(string(in.Load))
+	}
+	v.answer(204, nil) // whatever it is about: the worker goes on trying until it has been heard
+	v.door.News(n)
+}
+
+// hopByHop are the headers that concern one connection, or that are written anew.
+var hopByHop = map[string]bool{"Connection": true, "Content-Length": true, "Transfer-Encoding": true, "Host": true,
+	"X-Budget": true, "Keep-Alive": true, "Expect": true, "Te": true, "Trailer": true, "Upgrade": true}
+
+func (v *visit) job(m *http1.Message, path string) {
+	d := v.door
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	class := m.Header.Get("X-Call-Class")
+	if class == "" {
+		class = first
+	}
+	operation, known := d.operations[class]
+	id := m.Header.Get("X-Call-Id")
+	budget, err := strconv.ParseFloat(m.Header.Get("X-Budget"), 64)
+	arrival, well := d.arrival(m)
+	switch {
+	case !known:
+		v.refuse(404)
+		return
+	case class != first || id == "" || err != nil || !(budget > 0 && budget < maxTimes) || !well,
+		d.site.Deployment.Operations[operation].Effect == dispatch.Deduplicated &&
+			m.Header.Get("Idempotency-Key") == "":
+		v.refuse(400)
+		return
+	case d.ids[id]:
+		v.refuse(409) // the one in hand has its own answer coming
+		return
+	case len(d.inHand) >= d.most:
+		d.Counts.Crowded++
+		v.answer(503, nil)
+		return
+	}
+	now := d.loop.Now()
+	givenUp := v.c.Since + settings.Span(budget) - early
+	if d.leavesAt > 0 {
+		givenUp = min(givenUp, d.leavesAt)
+	}
+	d.last++
+	d.Counts.TakenIn++
+	v.inv = d.last
+	j := &inHand{id: id, visit: v, came: now}
+	inv := v.inv
+	j.overdue = d.loop.After(givenUp+overdue-now, func() {
+		d.Counts.Overdue++
+		d.Fail(inv)
+		d.Event(dispatch.Withdrawn{Inv: inv})
+	})
+	d.inHand[inv], d.ids[id] = j, true
+	d.Took(&workers.Job{Inv: inv, ID: id, Method: m.Method, Target: m.Target, Host: m.Header.Get("Host"),
+		Fields: onward(m), Body: m.Body, GivenUp: givenUp})
+	arrival.Inv, arrival.Operation, arrival.Budget = inv, operation, givenUp-now
+	d.Event(arrival)
+}
+
+// arrival reads what the request says of its work; false: something in it can't be read.
+func (d *Door) arrival(m *http1.Message) (a dispatch.Arrival, well bool) {
+	well = true
+	number := func(text string) float64 {
+		v, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		well = well && err == nil && v >= 0 && v < 1e12
+		return v
+	}
+	a.Slots = 1
+	if cost := m.Header.Get("X-Call-Cost"); cost != "" {
+		a.Hint = number(cost) / 1e6
+	}
+	if tenant := m.Header.Get("X-Caller"); tenant != "" {
+		known := false
+		if a.Tenant, known = d.tenants[tenant]; !known {
+			a.Tenant = len(d.tenants)
+		}
+	}
+	for pair := range strings.SplitSeq(m.Header.Get("X-Call-Info"), ",") {
+		switch name, value, _ := strings.Cut(strings.TrimSpace(pair), "="); name {
+		case "slots":
+			a.Slots = number(value)
+		case "memory":
+			a.Memory = number(value)
+		}
+	}
+	return a, well
+}
+
+// onward lists the headers that go on to a worker, in one order for any run.
+func onward(m *http1.Message) (fields []http1.Field) {
+	for _, name := range slices.Sorted(maps.Keys(m.Header)) {
+		for _, value := range m.Header[name] {
+			if !hopByHop[name] {
+				fields = append(fields, http1.Field{Name: name, Value: value})
+			}
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/conn/conn.go
@@ -0,0 +1,324 @@
+package conn
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"stoatweir/internal/ring"
+)
+
+// writeWithin is how long a peer may take nothing of what is written to it.
+const writeWithin = 3 * time.Second
+
+// lingers is how long a closed connection may still take in what its peer sends, as closing with unread bytes would
+// reset it and could cost the peer the answer.
+const lingers = time.Second
+
+// Owner is told of a connection, in the loop. Down comes once and last, and not after Close.
+type Owner interface {
+	Up(c *Conn)             // a dialled connection is up
+	Read(c *Conn)           // In holds more bytes
+	Sent(c *Conn)           // all that was written has gone out
+	Down(c *Conn, e Ending) // it has ended
+}
+
+// Conn is a connection with one ring a direction. A goroutine each way moves bytes between socket and ring, and
+// owns just the run of bytes that it was handed; all else belongs to the loop.
+type Conn struct {
+	In    ring.Buffer
+	Since time.Duration // when the first of the bytes in In came
+
+	loop             *Loop
+	owner            Owner
+	net              net.Conn
+	abort            context.CancelFunc
+	out              ring.Buffer
+	rest             []byte // waits for room in out
+	toRead, toWrite  chan []byte
+	reading, writing bool // a run of bytes is with the goroutine
+	up, ended, quits bool
+	ending           Ending
+	evictable        bool
+}
+
+type note struct {
+	*Conn
+	net  net.Conn
+	n    int
+	err  error
+	what what
+}
+
+type what uint8
+
+const (
+	dialed what = iota
+	read
+	wrote
+)
+
+// Dial begins a connection; Up or Down follows.
+func (l *Loop) Dial(addr string, within time.Duration, owner Owner) *Conn {
+	ctx, abort := context.WithTimeout(context.Background(), within)
+	c := &Conn{loop: l, owner: owner, abort: abort}
+	l.sockets++
+	go func() {
+		var d net.Dialer
+		nc, err := d.DialContext(ctx, "tcp", addr)
+		l.Put(note{Conn: c, net: nc, err: err, what: dialed})
+	}()
+	return c
+}
+
+// Adopt drives a connection that a listener has accepted.
+func (l *Loop) Adopt(nc net.Conn, owner Owner) *Conn {
+	l.sockets++
+	c := &Conn{loop: l, owner: owner, net: nc, abort: func() {}}
+	c.begin()
+	return c
+}
+
+func (c *Conn) begin() {
+	c.up = true
+	c.toRead, c.toWrite = make(chan []byte, 1), make(chan []byte, 1)
+	go func() {
+		for b := range c.toRead {
+			n, err := c.net.Read(b)
+			c.loop.Put(note{Conn: c, n: n, err: err, what: read})
+		}
+	}()
+	go func() {
+		for b := range c.toWrite {
+			c.net.SetWriteDeadline(time.Now().Add(writeWithin))
+			n, err := c.net.Write(b)
+			c.loop.Put(note{Conn: c, n: n, err: err, what: wrote})
+		}
+	}()
+	c.Resume()
+}
+
+// Take reads what a goroutine has left.
+func (n note) Take() {
+	c := n.Conn
+	switch n.what {
+	case dialed:
+		c.dialed(n)
+		return
+	case read:
+		c.reading = false
+		if n.n > 0 && !c.ended {
+			if c.In.Len() == 0 {
+				c.Since = c.loop.now
+			}
+			if c.In.Add(n.n); c.quits {
+				c.drain()
+			} else {
+				c.owner.Read(c)
+			}
+		}
+	case wrote:
+		c.writing = false
+		c.out.Drop(n.n)
+		if !c.ended {
+			c.refill()
+		}
+	}
+	if n.err != nil && !c.ended {
+		c.fail(n)
+	}
+	if c.ended {
+		c.settle()
+		return
+	}
+	c.Resume()
+	if n.what == wrote && c.Unsent() == 0 {
+		if c.quits {
+			c.shut()
+		} else {
+			c.owner.Sent(c)
+		}
+	}
+}
+
+func (c *Conn) dialed(n note) {
+	c.abort()
+	switch {
+	case c.ended:
+		if n.net != nil {
+			n.net.Close()
+		}
+		c.release()
+	case n.err != nil:
+		c.ended = true
+		c.release()
+		c.owner.Down(c, dialled(n.err))
+	default:
+		c.net = n.net
+		c.begin()
+		c.owner.Up(c)
+	}
+}
+
+// fail takes note of a break. What is still with the writer decides whether the request had gone out, so that its
+// word is waited for.
+func (c *Conn) fail(n note) {
+	e := Reset
+	if errors.Is(n.err, io.EOF) {
+		e = Closed
+	} else if errors.Is(n.err, os.ErrDeadlineExceeded) {
+		e = Stalled
+	}
+	if c.quits { // the owner has let go of it
+		c.owner = nil
+	}
+	c.end(e)
+}
+
+func (c *Conn) end(e Ending) {
+	c.ended, c.ending = true, e
+	c.release()
+	c.net.Close()
+	close(c.toRead)
+	close(c.toWrite)
+}
+
+// settle lets go of a connection that has ended once both goroutines have given their bytes back.
+func (c *Conn) settle() {
+	if c.reading || c.writing {
+		return
+	}
+	unsent := c.Unsent() > 0
+	c.In.Free()
+	c.out.Free()
+	if owner := c.owner; owner != nil {
+		c.owner = nil
+		if unsent {
+			c.ending = CutShort
+		}
+		owner.Down(c, c.ending)
+	}
+}
+
+// Close ends the connection at once; the owner hears no more of it.
+func (c *Conn) Close() {
+	switch c.owner = nil; {
+	case c.ended:
+	case !c.up:
+		c.ended = true
+		c.abort()
+	default:
+		c.end(Closed)
+		c.settle()
+	}
+}
+
+// Quit ends the connection once all is written, so that the peer gets it whole; the owner hears no more of it.
+func (c *Conn) Quit() {
+	if c.ended || c.quits {
+		return
+	}
+	c.quits = true
+	c.drain()
+	if c.Resume(); c.Unsent() == 0 {
+		c.shut()
+	}
+}
+
+func (c *Conn) shut() {
+	if tcp, is := c.net.(*net.TCPConn); is {
+		tcp.CloseWrite()
+	}
+	c.loop.After(lingers, func() { c.Close() })
+}
+
+func (c *Conn) drain() {
+	for c.In.Len() > 0 {
+		c.In.Drop(len(c.In.Bytes()))
+	}
+}
+
+// Write queues bytes; what the ring has no room for is kept by reference.
+func (c *Conn) Write(b []byte) {
+	if c.ended || c.quits {
+		return
+	}
+	if len(c.rest) == 0 {
+		c.rest = slices.Clip(b)
+	} else {
+		c.rest = append(c.rest, b...)
+	}
+	c.refill()
+	c.Resume()
+}
+
+func (c *Conn) refill() {
+	n := c.out.Write(c.rest)
+	if c.rest = c.rest[n:]; len(c.rest) == 0 {
+		c.rest = nil
+	}
+}
+
+// Unsent counts the bytes that have not gone out.
+func (c *Conn) Unsent() int { return c.out.Len() + len(c.rest) }
+
+// Resume hands the goroutines what there is to do: a full ring In stops the reading until the owner has used some.
+func (c *Conn) Resume() {
+	if c.ended || !c.up {
+		return
+	}
+	if b := c.In.Room(); !c.reading && len(b) > 0 {
+		c.reading = true
+		c.toRead <- b
+	}
+	if b := c.out.Bytes(); !c.writing && len(b) > 0 {
+		c.writing = true
+		c.toWrite <- b
+	}
+}
+
+// Idle says whether the connection may be closed for want of descriptors: nothing is under way on it.
+func (c *Conn) Idle(is bool) {
+	if c.evictable == is {
+		return
+	}
+	if c.evictable = is; is {
+		c.loop.idle = append(c.loop.idle, c)
+		return
+	}
+	for i, other := range c.loop.idle {
+		if other == c {
+			c.loop.idle = append(c.loop.idle[:i], c.loop.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+func (c *Conn) release() {
+	c.Idle(false)
+	c.loop.sockets--
+	if c.loop.Freed != nil {
+		c.loop.Freed()
+	}
+}
+
+// Spare tells whether one more descriptor can be had with at least keep left. To make room, the connection that has
+// been idle longest ends, and its owner hears so as if the peer had closed it.
+func (l *Loop) Spare(keep int) bool {
+	for l.sockets+keep >= l.limit && len(l.idle) > 0 {
+		c := l.idle[0]
+		owner := c.owner
+		c.Idle(false)
+		if c.Close(); owner != nil {
+			owner.Down(c, Closed)
+		}
+	}
+	return l.sockets+keep < l.limit
+}
+
+// Sockets tells how many descriptors are in use.
+func (l *Loop) Sockets() int { return l.sockets }
--- /dev/null
+++ b/internal/conn/ending.go
@@ -0,0 +1,58 @@
+package conn
+
+import (
+	"errors"
+	"syscall"
+
+	"stoatweir/dispatch"
+)
+
+// Ending is how a connection, or what was asked over it, has come to its end.
+type Ending uint8
+
+const (
+	Open       Ending = iota // it has not ended
+	Refused                  // nobody listens there
+	NeverUp                  // it did not come up in time
+	Crowded                  // no descriptor was left for it
+	Withheld                 // it came up when the worker was no longer to get anything
+	CutShort                 // it broke before the request's last byte was written
+	Closed                   // the peer closed it with the request unanswered
+	Reset                    // the peer or the network reset it with the request unanswered
+	Stalled                  // the peer reads or sends nothing for too long
+	Garbage                  // what the peer sent can't be read
+	TurnedAway               // the answer says that the worker did not look at it
+	HandedBack               // taken, and given back unstarted
+	Faulted                  // the worker failed on it
+	Lost                     // taken, and the process that had it died
+	Served                   // the worker's result is there
+	Expired                  // we stopped waiting at the client timeout
+	CalledOff                // we gave it up before
+	Unsent                   // the client had its answer before it could go out
+)
+
+// results is the one place where endings become what the module is told. Only what proves that nothing has run may
+// stand beside Full, Unreachable or NotSent: all else counts as having run.
+var results = [...]dispatch.Result{
+	Open: dispatch.TimedOut, Refused: dispatch.Unreachable, NeverUp: dispatch.Unreachable,
+	Crowded: dispatch.Unreachable, Withheld: dispatch.Unreachable, CutShort: dispatch.Unreachable,
+	Closed: dispatch.Broken, Reset: dispatch.Broken, Stalled: dispatch.TimedOut, Garbage: dispatch.Failed,
+	TurnedAway: dispatch.Full, HandedBack: dispatch.Full, Faulted: dispatch.Failed, Lost: dispatch.Broken,
+	Served: dispatch.Succeeded, Expired: dispatch.TimedOut, CalledOff: dispatch.Cancelled, Unsent: dispatch.NotSent,
+}
+
+// Result is the module's word for the ending of a forward or a probe.
+func (e Ending) Result() dispatch.Result { return results[e] }
+
+var names = [...]string{"open", "refused", "never up", "crowded", "withheld", "cut short", "closed", "reset", "stalled",
+	"garbage", "turned away", "handed back", "faulted", "lost", "served", "expired", "called off", "unsent"}
+
+func (e Ending) String() string { return names[e] }
+
+// dialled tells how an attempt to connect has failed.
+func dialled(err error) Ending {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+		return Refused
+	}
+	return NeverUp
+}
--- /dev/null
+++ b/internal/conn/loop.go
@@ -0,0 +1,120 @@
+// Package conn is a thin driver over net: goroutines that only move bytes, and the loop that all else runs in.
+package conn
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Note is something that waits in the loop's inbox; Take is called in the loop.
+type Note interface{ Take() }
+
+// Loop owns an inbox and alarms. All that it calls runs in one goroutine, one thing after the other.
+type Loop struct {
+	inbox  chan Note
+	start  time.Time
+	now    time.Duration
+	alarms alarms
+	rank   int
+	ended  bool
+
+	sockets, limit int     // descriptors of connections: in use, and at most
+	idle           []*Conn // oldest first
+	Freed          func()  // a descriptor is free again; set once, may be nil
+}
+
+// NewLoop starts the clock. limit is how many connections may have a descriptor at once.
+func NewLoop(start time.Time, limit int) *Loop {
+	return &Loop{inbox: make(chan Note, 1024), start: start, limit: limit}
+}
+
+// Now is the time since the start, read once for each note: all that a note causes happens at one moment.
+func (l *Loop) Now() time.Duration { return l.now }
+
+// Put leaves a note; any goroutine may.
+func (l *Loop) Put(n Note) { l.inbox <- n }
+
+// Stop ends Run after the present note.
+func (l *Loop) Stop() { l.ended = true }
+
+// Run empties the inbox until Stop; each is called whenever all that has happened so far is in.
+func (l *Loop) Run(each func()) {
+	timer := time.NewTimer(0)
+	for !l.ended {
+		wait := time.Hour
+		if len(l.alarms) > 0 {
+			wait = l.alarms[0].at - time.Since(l.start)
+		}
+		timer.Reset(max(0, wait))
+		select {
+		case n := <-l.inbox:
+			l.take(n)
+		case <-timer.C:
+		}
+		for more := true; more; { // what has come meanwhile belongs to the same moment for the decisions
+			select {
+			case n := <-l.inbox:
+				l.take(n)
+			default:
+				more = false
+			}
+		}
+		l.now = time.Since(l.start)
+		for len(l.alarms) > 0 && l.alarms[0].at <= l.now {
+			a := heap.Pop(&l.alarms).(*Alarm)
+			a.ring()
+		}
+		each()
+	}
+}
+
+func (l *Loop) take(n Note) {
+	l.now = time.Since(l.start)
+	n.Take()
+}
+
+// Alarm calls back at a time unless it is stopped before.
+type Alarm struct {
+	at      time.Duration
+	place   int // in the heap; -1: no longer
+	rank    int
+	ring    func()
+	waiting *alarms
+}
+
+// After sets an alarm.
+func (l *Loop) After(wait time.Duration, ring func()) *Alarm {
+	l.rank++
+	a := &Alarm{at: l.now + wait, rank: l.rank, ring: ring, waiting: &l.alarms}
+	heap.Push(&l.alarms, a)
+	return a
+}
+
+// Stop takes the alarm back; it may have rung, or be nil.
+func (a *Alarm) Stop() {
+	if a != nil && a.place >= 0 {
+		heap.Remove(a.waiting, a.place)
+	}
+}
+
+type alarms []*Alarm
+
+func (a alarms) Len() int { return len(a) }
+func (a alarms) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].rank < a[j].rank
+}
+func (a alarms) Swap(i, j int) {
+	a[i], a[j] = a[j], a[i]
+	a[i].place, a[j].place = i, j
+}
+func (a *alarms) Push(x any) {
+	x.(*Alarm).place = len(*a)
+	*a = append(*a, x.(*Alarm))
+}
+func (a *alarms) Pop() any {
+	last := (*a)[len(*a)-1]
+	(*a)[len(*a)-1] = nil
+	*a = (*a)[:len(*a)-1]
+	last.place = -1
+	return last
+}
--- /dev/null
+++ b/internal/settings/node.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+)
+
+// Node is what one scheduler of the service is told at its start.
+type Node struct {
+	Name, Listen, Discovery string
+	Seed                    int64
+	MemoryMB, Sockets       int
+	Known                   json.RawMessage // the list of workers as last had, in discovery's form
+	Site                    Site
+}
+
+// least is how many descriptors are wanted for anything to work.
+const least = 64
+
+// ReadNode reads the file that PROXY_CONFIG names; the other variables stand in for what is not in it.
+func ReadNode(env func(string) string) (n Node, err error) {
+	path := env("PROXY_CONFIG")
+	if path == "" {
+		return n, fmt.Errorf("PROXY_CONFIG: names no file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return n, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	if n, err = ParseNode(text, env); err != nil {
+		err = fmt.Errorf("%s: %w", path, err)
+	}
+	return n, err
+}
+
+// ParseNode reads and checks the text of that file.
+func ParseNode(text []byte, env func(string) string) (n Node, err error) {
+	var in struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
+	}
+	if err := decode(text, &in); err != nil {
+		return n, err
+	}
+	n = Node{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, MemoryMB: in.Limits.MemoryMB,
+		Sockets: in.Limits.Sockets, Known: in.Known}
+	for _, v := range []struct {
+		to        *string
+		key, name string
+	}{{&n.Name, "name", "PROXY_NAME"}, {&n.Listen, "listen", "PROXY_LISTEN"},
+		{&n.Discovery, "discovery", "PROXY_DISCOVERY"}} {
+		if *v.to == "" {
+			*v.to = env(v.name)
+		}
+		if *v.to == "" {
+			return n, fmt.Errorf("%s: is not set, nor is %s", v.key, v.name)
+		}
+	}
+	for _, v := range [][2]string{{"listen", n.Listen}, {"discovery", n.Discovery}} {
+		if _, err := netip.ParseAddrPort(v[1]); err != nil {
+			return n, fmt.Errorf("%s: %q is no address with a port", v[0], v[1])
+		}
+	}
+	if in.Seed != "" {
+		seed, err := strconv.ParseUint(in.Seed, 16, 64)
+		if err != nil {
+			return n, fmt.Errorf("seed: %q is no number of 16 hexadecimal digits", in.Seed)
+		}
+		n.Seed = int64(seed)
+	}
+	if n.MemoryMB == 0 {
+		n.MemoryMB = 192
+	}
+	if n.Sockets == 0 {
+		n.Sockets = 1024
+	}
+	if n.MemoryMB < 32 {
+		return n, fmt.Errorf("limits.memory_mb: %d is too little", n.MemoryMB)
+	}
+	if n.Sockets < least {
+		return n, fmt.Errorf("limits.sockets: %d is too few, %d are the least", n.Sockets, least)
+	}
+	if n.Site, err = ParseSite(in.Settings); err != nil {
+		return n, err
+	}
+	if len(n.Site.Operations) == 0 {
+		return n, fmt.Errorf("settings: Operations: there are none")
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,151 @@
+// Package settings is the one place that reads, checks and defaults what operators set. A message names the key at
+// fault.
+package settings
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"stoatweir/dispatch"
+)
+
+// Span turns seconds into a duration, held inside what one can carry.
+func Span(seconds float64) time.Duration {
+	const most = float64(math.MaxInt64 / 4)
+	if math.IsNaN(seconds) {
+		return 0
+	}
+	return time.Duration(math.Round(max(-most, min(most, seconds*float64(time.Second)))))
+}
+
+// Site is a deployment as its settings tell of it: what the decisions need, and what only the network does.
+type Site struct {
+	Deployment                        dispatch.Deployment
+	Report                            Report
+	Operations, Tenants, Zones, Kinds []string // their names, by index
+	ConnIdle, ConnTimeout             time.Duration
+	LongestTimeout                    time.Duration // that any operation's clients have
+}
+
+// site is the settings text, with the keys that have a meaning here.
+type site struct {
+	Discovery         string
+	ExcessBilledValue *float64
+	MyZone            int
+	PeersTotal        int
+	Dcs, Kinds        []string
+	Operations        []struct {
+		Name, DedupScope, Effect                                                               string
+		ClientTimeout, BilledValue, DedupWindow, LateBilledValue, LatencyObjective, AimStretch float64
+	}
+	FamilyInfo struct {
+		ClassKind          []int
+		ClassStretch       []float64
+		Progress           float64
+		ReportX0, ReportX1 string
+		TellsStart         bool
+	}
+	Limits struct {
+		Cancel, Probes, RetryAfter, SecondCopies bool
+		MostForwards                             int
+		MaxRetryAfter, ConnIdle, ConnectTimeout  float64
+	}
+	Prices struct{ Probe float64 }
+	Report struct {
+		How   string
+		Names []string
+	}
+	Rules struct {
+		AskWithin, ColdFrom, Fall, FallMultiple, WarmAfter float64
+	}
+	Tenants []struct {
+		Name                string
+		QuotaPerS, Fraction float64
+	}
+}
+
+var effects = map[string]dispatch.Effect{
+	"read_like": dispatch.Idempotent, "idempotency_key": dispatch.Deduplicated,
+	"non_idempotent": dispatch.NonIdempotent,
+}
+
+var scopes = map[string]dispatch.Scope{
+	"": dispatch.ScopeAll, "all": dispatch.ScopeAll, "zone": dispatch.ScopeZone, "cell": dispatch.ScopeCell,
+}
+
+// decode names the key at fault where a value has the wrong form.
+func decode(text []byte, into any) error {
+	err := json.Unmarshal(text, into)
+	if wrong := (*json.UnmarshalTypeError)(nil); errors.As(err, &wrong) && wrong.Field != "" {
+		return fmt.Errorf("%s: a %s is wanted there, not a %s", wrong.Field, wrong.Type, wrong.Value)
+	}
+	return err
+}
+
+// ParseSite reads the settings text. Keys without a meaning here are passed over.
+func ParseSite(text []byte) (s Site, err error) {
+	var in site
+	if err := decode(text, &in); err != nil {
+		return s, fmt.Errorf("settings: %w", err)
+	}
+	d := &s.Deployment
+	*d = dispatch.Deployment{
+		Peers: in.PeersTotal, Zone: in.MyZone, ExcessValue: 1, Pushed: in.Discovery == "push",
+		TellsStart: in.FamilyInfo.TellsStart, Progress: Span(in.FamilyInfo.Progress),
+		ProbePrice: in.Prices.Probe,
+		Allowed: dispatch.Allowances{
+			Probes: in.Limits.Probes, Cancel: in.Limits.Cancel, MaxForwards: in.Limits.MostForwards, MaxOut: 1,
+		},
+		Rules: dispatch.Rules{
+			AskWithin: Span(in.Rules.AskWithin), ColdFrom: in.Rules.ColdFrom, WarmAfter: Span(in.Rules.WarmAfter),
+			FallMultiple: in.Rules.FallMultiple, Fall: Span(in.Rules.Fall),
+		},
+	}
+	if in.Limits.SecondCopies {
+		d.Allowed.MaxOut = 2
+	}
+	if in.Limits.RetryAfter {
+		d.Allowed.MaxRetryAfter = Span(in.Limits.MaxRetryAfter)
+	}
+	if in.ExcessBilledValue != nil {
+		d.ExcessValue = *in.ExcessBilledValue
+	}
+	for i, o := range in.Operations {
+		op := dispatch.Operation{
+			BilledValue: o.BilledValue, LateValue: o.LateBilledValue, LatencyObjective: Span(o.LatencyObjective),
+			Stretch: o.AimStretch, DedupWindow: Span(o.DedupWindow),
+			Kind: -1,
+		}
+		var known bool
+		if op.Effect, known = effects[o.Effect]; !known {
+			return s, fmt.Errorf("settings: Operations[%d].Effect: %q is unknown", i, o.Effect)
+		}
+		if op.Scope, known = scopes[o.DedupScope]; !known {
+			return s, fmt.Errorf("settings: Operations[%d].DedupScope: %q is unknown", i, o.DedupScope)
+		}
+		if i < len(in.FamilyInfo.ClassKind) {
+			op.Kind = in.FamilyInfo.ClassKind[i]
+		}
+		if i < len(in.FamilyInfo.ClassStretch) {
+			op.Stretch = in.FamilyInfo.ClassStretch[i]
+		}
+		d.Operations = append(d.Operations, op)
+		s.Operations = append(s.Operations, o.Name)
+		s.LongestTimeout = max(s.LongestTimeout, Span(o.ClientTimeout))
+	}
+	for _, t := range in.Tenants {
+		d.Tenants = append(d.Tenants, dispatch.Tenant{QuotaPerS: t.QuotaPerS, Share: t.Fraction})
+		s.Tenants = append(s.Tenants, t.Name)
+	}
+	if in.Report.How != "none" {
+		s.Report.name(in.Report.Names, map[string]string{"x0": in.FamilyInfo.ReportX0, "x1": in.FamilyInfo.ReportX1})
+	}
+	s.Zones, s.Kinds = in.Dcs, in.Kinds
+	s.ConnIdle = Span(cmp.Or(in.Limits.ConnIdle, 60))
+	s.ConnTimeout = Span(cmp.Or(in.Limits.ConnectTimeout, 1))
+	return s, nil
+}
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"stoatweir/dispatch"
+	"stoatweir/internal/settings"
 )
 
 func unhex(text string) []byte {
@@ -28,7 +29,7 @@
 		fmt.Println("error:", err)
 		return
 	}
-	dialect := Dialect{Base: Base(batch.Clock), Report: []string{"free slots", "waiting"}}
+	dialect := Dialect{Base: Base(batch.Clock), Report: settings.Report{Meanings: []string{"free slots", "waiting"}}}
 	for records := Open(batch); ; {
 		scheduler, event, more, err := records.Next(func(uint32) Dialect { return dialect })
 		if err != nil {
@@ -117,38 +118,6 @@
 	// error: event code 1: settings: invalid character '}' after top-level value
 }
 
-const settings = `{"Discovery": "push", "MyZone": 2, "PeersTotal": 3, "Unheard": {"of": [1]},
-	"Operations": [
-		{"BilledValue": 3, "ClientTimeout": 5, "LatencyObjective": 0.25, "Effect": "read_like", "AimStretch": 1.5},
-		{"Effect": "idempotency_key", "DedupScope": "cell", "DedupWindow": 7.5},
-		{"Effect": "non_idempotent", "DedupScope": "all", "LateBilledValue": 0.5}],
-	"FamilyInfo": {"ClassKind": [-1, 2], "ClassStretch": [2], "ReportX0": "free slots", "ReportX1": "heat"},
-	"Limits": {"Cancel": true, "Probes": true, "MostForwards": 4, "RetryAfter": false, "MaxRetryAfter": 2},
-	"Report": {"How": "probe", "Names": ["x0", "x1", "waiting"]}, "Rules": {"AskWithin": 10},
-	"Tenants": [{"QuotaPerS": 5, "Fraction": 0.4}]}`
-
-func Example_settings() {
-	d, report, err := ParseInfo([]byte(settings))
-	fmt.Println(report, err, d.Pushed, d.Zone, d.Peers, d.ExcessValue, d.Allowed, d.Rules.AskWithin, d.Tenants)
-	for _, o := range d.Operations {
-		fmt.Printf("%+v\n", o)
-	}
-	for _, bad := range []string{"{", `{"Operations": [{"Effect": "strange"}]}`,
-		`{"Operations": [{"Effect": "read_like", "DedupScope": "hall"}]}`, `{"PeersTotal": "three"}`} {
-		_, _, err := ParseInfo([]byte(bad))
-		fmt.Println(err)
-	}
-	// Output:
-	// [free slots heat waiting] <nil> true 2 3 1 {true true 4 1 0s} 10s [{5 0.4}]
-	// {BilledValue:3 LateValue:0 LatencyObjective:250ms Stretch:2 Effect:0 Scope:0 DedupWindow:0s Kind:-1}
-	// {BilledValue:0 LateValue:0 LatencyObjective:0s Stretch:0 Effect:1 Scope:2 DedupWindow:7.5s Kind:2}
-	// {BilledValue:0 LateValue:0.5 LatencyObjective:0s Stretch:0 Effect:2 Scope:0 DedupWindow:0s Kind:-1}
-	// settings: unexpected end of JSON input
-	// settings: unknown effect "strange"
-	// settings: unknown scope "hall"
-	// settings: json: cannot unmarshal string into Go struct field info.PeersTotal of type int
-}
-
 func TestEndOfInput(t *testing.T) {
 	if _, err := ReadBatch(strings.NewReader("")); err != io.EOF {
 		t.Errorf("clean end of input: %v, want io.EOF", err)
--- a/internal/simwire/words.go
+++ b/internal/simwire/words.go
@@ -1,15 +1,13 @@
 package simwire
 
 import (
-	"cmp"
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
-	"math"
 	"net/netip"
 	"time"
 
 	"stoatweir/dispatch"
+	"stoatweir/internal/settings"
 )
 
 // Codes of the events and the actions on the wire.
@@ -33,7 +31,7 @@
 // what the values of a load report mean.
 type Dialect struct {
 	Base   Base
-	Report []string
+	Report settings.Report
 }
 
 // PowerOff ends an instance at once, with all that it held.
@@ -43,16 +41,7 @@
 type Base float64
 
 // Since gives the span between the instance's start and a reading of the clock.
-func (b Base) Since(clock float64) time.Duration { return span(clock - float64(b)) }
-
-// span turns seconds into a duration, held inside what one can carry.
-func span(seconds float64) time.Duration {
-	const most = float64(math.MaxInt64 / 4)
-	if math.IsNaN(seconds) {
-		return 0
-	}
-	return time.Duration(math.Round(max(-most, min(most, seconds*float64(time.Second)))))
-}
+func (b Base) Since(clock float64) time.Duration { return settings.Span(clock - float64(b)) }
 
 // Reader walks over the records of one batch.
 type Reader struct {
@@ -94,15 +83,15 @@
 		if c.err != nil {
 			return nil, c.err
 		}
-		deployment, report, err := ParseInfo(text)
-		return Up{seed, deployment, Dialect{r.clock, report}}, err
+		site, err := settings.ParseSite(text)
+		return Up{seed, site.Deployment, Dialect{r.clock, site.Report}}, err
 	case evDirectory:
 		c.u64()
 		return r.listing(d.Base)
 	case evInbound:
 		a := dispatch.Arrival{Inv: dispatch.InvID(c.u64()), Operation: int(c.u16()), Tenant: int(c.u16())}
 		c.u64()
-		a.Budget, a.Hint = span(c.f64()), c.f64()
+		a.Budget, a.Hint = settings.Span(c.f64()), c.f64()
 		a.Slots, a.Memory = c.f32(), c.f32()
 		if c.u16()&hintValid == 0 {
 			a.Hint = 0
@@ -138,7 +127,7 @@
 	case evHealth:
 		a := dispatch.Answer{Worker: c.worker()}
 		status := c.u16()
-		a.Took, a.Load = span(c.f64()), c.load(d.Report)
+		a.Took, a.Load = settings.Span(c.f64()), c.load(d.Report)
 		var err error
 		a.Result, err = c.result(status)
 		return a, err
@@ -201,44 +190,21 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.LittleEndian.Uint16(b[4:]))
 }
 
-func (c *cursor) load(names []string) *dispatch.Load {
+func (c *cursor) load(report settings.Report) *dispatch.Load {
 	n := int(c.u8())
 	if n == 0 {
 		return nil
 	}
-	load, unknown := dispatch.NoLoad, 0.0
+	load := dispatch.NoLoad
 	for i := range n {
-		field := &unknown
-		if i < len(names) {
-			field = loadField(&load, names[i], &unknown)
+		v := c.f32()
+		if field := report.Field(&load, i); field != nil {
+			*field = v
 		}
-		*field = c.f32()
 	}
 	return &load
 }
 
-func loadField(load *dispatch.Load, name string, unknown *float64) *float64 {
-	switch name {
-	case "free slots":
-		return &load.FreeSlots
-	case "free memory":
-		return &load.FreeMemory
-	case "waiting":
-		return &load.Waiting
-	case "active":
-		return &load.InHand
-	case "cpu":
-		return &load.Busy
-	case "avg_ms":
-		return &load.ServiceTime
-	case "rps":
-		return &load.Rate
-	case "err_rps":
-		return &load.Errors
-	}
-	return unknown
-}
-
 // Action packs one action of a scheduler.
 func (r *Reply) Action(scheduler uint32, base Base, action dispatch.Action) {
 	switch a := action.(type) {
@@ -287,106 +253,3 @@
 	r.body = append(r.body, addr[:]...)
 	r.body = binary.LittleEndian.AppendUint16(r.body, id.Port())
 }
-
-// info is the settings text of the wire, with the keys that have a meaning here.
-type info struct {
-	Discovery         string
-	ExcessBilledValue *float64
-	MyZone            int
-	PeersTotal        int
-	Operations        []struct {
-		BilledValue, DedupWindow, LateBilledValue, LatencyObjective, AimStretch float64
-		DedupScope, Effect                                                      string
-	}
-	FamilyInfo struct {
-		ClassKind          []int
-		ClassStretch       []float64
-		Progress           float64
-		ReportX0, ReportX1 string
-		TellsStart         bool
-	}
-	Limits struct {
-		Cancel, Probes, RetryAfter, SecondCopies bool
-		MostForwards                             int
-		MaxRetryAfter                            float64
-	}
-	Prices struct{ Probe float64 }
-	Report struct {
-		How   string
-		Names []string
-	}
-	Rules struct {
-		AskWithin, ColdFrom, Fall, FallMultiple, WarmAfter float64
-	}
-	Tenants []struct{ QuotaPerS, Fraction float64 }
-}
-
-var effects = map[string]dispatch.Effect{
-	"read_like": dispatch.Idempotent, "idempotency_key": dispatch.Deduplicated,
-	"non_idempotent": dispatch.NonIdempotent,
-}
-
-var scopes = map[string]dispatch.Scope{
-	"": dispatch.ScopeAll, "all": dispatch.ScopeAll, "zone": dispatch.ScopeZone, "cell": dispatch.ScopeCell,
-}
-
-// ParseInfo reads the settings text and tells too what the values of a load report mean, in their order. Keys
-// without a meaning here are passed over.
-func ParseInfo(text []byte) (d dispatch.Deployment, report []string, err error) {
-	var in info
-	if err := json.Unmarshal(text, &in); err != nil {
-		return d, nil, fmt.Errorf("settings: %w", err)
-	}
-	d = dispatch.Deployment{
-		Peers: in.PeersTotal, Zone: in.MyZone, ExcessValue: 1, Pushed: in.Discovery == "push",
-		TellsStart: in.FamilyInfo.TellsStart, Progress: span(in.FamilyInfo.Progress),
-		ProbePrice: in.Prices.Probe,
-		Allowed: dispatch.Allowances{
-			Probes: in.Limits.Probes, Cancel: in.Limits.Cancel, MaxForwards: in.Limits.MostForwards, MaxOut: 1,
-		},
-		Rules: dispatch.Rules{
-			AskWithin: span(in.Rules.AskWithin), ColdFrom: in.Rules.ColdFrom, WarmAfter: span(in.Rules.WarmAfter),
-			FallMultiple: in.Rules.FallMultiple, Fall: span(in.Rules.Fall),
-		},
-	}
-	if in.Limits.SecondCopies {
-		d.Allowed.MaxOut = 2
-	}
-	if in.Limits.RetryAfter {
-		d.Allowed.MaxRetryAfter = span(in.Limits.MaxRetryAfter)
-	}
-	if in.ExcessBilledValue != nil {
-		d.ExcessValue = *in.ExcessBilledValue
-	}
-	for i, o := range in.Operations {
-		op := dispatch.Operation{
-			BilledValue: o.BilledValue, LateValue: o.LateBilledValue, LatencyObjective: span(o.LatencyObjective),
-			Stretch: o.AimStretch, DedupWindow: span(o.DedupWindow),
-			Kind: -1,
-		}
-		var known bool
-		if op.Effect, known = effects[o.Effect]; !known {
-			return d, nil, fmt.Errorf("settings: unknown effect %q", o.Effect)
-		}
-		if op.Scope, known = scopes[o.DedupScope]; !known {
-			return d, nil, fmt.Errorf("settings: unknown scope %q", o.DedupScope)
-		}
-		if i < len(in.FamilyInfo.ClassKind) {
-			op.Kind = in.FamilyInfo.ClassKind[i]
-		}
-		if i < len(in.FamilyInfo.ClassStretch) {
-			op.Stretch = in.FamilyInfo.ClassStretch[i]
-		}
-		d.Operations = append(d.Operations, op)
-	}
-	for _, t := range in.Tenants {
-		d.Tenants = append(d.Tenants, dispatch.Tenant{QuotaPerS: t.QuotaPerS, Share: t.Fraction})
-	}
-	if in.Report.How != "none" {
-		meaning := map[string]string{"x0": in.FamilyInfo.ReportX0, "x1": in.FamilyInfo.ReportX1}
-		for _, name := range in.Report.Names {
-			report = append(report, cmp.Or(meaning[name], name))
-		}
-	}
-	return d, report, nil
-}
--- /dev/null
+++ b/internal/workers/line.go
@@ -0,0 +1,154 @@
+package workers
+
+import (
+	"stoatweir/internal/conn"
+	"stoatweir/internal/http1"
+)
+
+// ask is one request and its answer.
+type ask struct {
+	request func() []byte // at the moment of sending; nil: it is not to be sent any more
+	done    func(m *http1.Message, e conn.Ending)
+	limit   *conn.Alarm
+}
+
+// line is a kept connection to a worker; it carries one request at a time.
+type line struct {
+	fleet  *Fleet
+	worker *worker
+	c      *conn.Conn
+	parser http1.Parser
+	ask    *ask        // nil: idle
+	expiry *conn.Alarm // of an idle one
+}
+
+// ask sends on the connection used last, as it is the least likely to have been closed by the worker, or opens one.
+// nil: it has failed at once, and done has been called.
+func (f *Fleet) ask(w *worker, a *ask) *line {
+	if n := len(w.idle); n > 0 {
+		l := w.idle[n-1]
+		w.idle = w.idle[:n-1]
+		l.expiry.Stop()
+		l.c.Idle(false)
+		if l.ask = a; !l.send() {
+			return nil
+		}
+		return l
+	}
+	if !f.loop.Spare(f.keep) {
+		a.done(nil, conn.Crowded)
+		return nil
+	}
+	f.Counts.Dialled++
+	l := &line{fleet: f, worker: w, parser: http1.Parser{Answers: true}, ask: a}
+	l.c = f.loop.Dial(w.endpoint, f.site.ConnTimeout, l)
+	return l
+}
+
+func (l *line) send() bool {
+	request := l.ask.request()
+	if request == nil {
+		l.finish(nil, conn.Withheld)
+		l.park()
+		return false
+	}
+	l.c.Write(request)
+	return true
+}
+
+func (l *line) finish(m *http1.Message, e conn.Ending) {
+	a := l.ask
+	l.ask = nil
+	a.limit.Stop()
+	a.done(m, e)
+}
+
+// drop closes the connection; what was asked over it hears nothing more.
+func (l *line) drop() {
+	if l.ask != nil {
+		l.ask.limit.Stop()
+	}
+	l.ask = nil
+	l.c.Close()
+}
+
+func (l *line) park() {
+	w := l.worker
+	w.idle = append(w.idle, l)
+	l.c.Idle(true)
+	l.expiry = l.fleet.loop.After(l.fleet.site.ConnIdle*6/10, func() {
+		w.forget(l)
+		l.c.Close()
+	})
+}
+
+func (w *worker) forget(l *line) {
+	for i, other := range w.idle {
+		if other == l {
+			l.expiry.Stop()
+			w.idle = append(w.idle[:i], w.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+func (w *worker) shutIdle() {
+	for _, l := range w.idle {
+		l.expiry.Stop()
+		l.c.Close()
+	}
+	w.idle = nil
+}
+
+// Up sends what the connection was opened for.
+func (l *line) Up(*conn.Conn) { l.send() }
+
+// Sent has nothing to do.
+func (l *line) Sent(*conn.Conn) {}
+
+// Read takes an answer in.
+func (l *line) Read(c *conn.Conn) {
+	for c.In.Len() > 0 {
+		n, step, err := l.parser.Feed(c.In.Bytes())
+		c.In.Drop(n)
+		if l.ask == nil || err != nil || step == http1.Whole && c.Unsent() > 0 {
+			// An answer to nothing, to half a request, or one that can't be read: what comes next could be taken
+			// for the answer to something else.
+			l.end(conn.Garbage)
+			return
+		}
+		if step == http1.Whole {
+			m := l.parser.Message
+			if m.Close || c.In.Len() > 0 {
+				l.finish(m, conn.Open)
+				c.Close()
+				return
+			}
+			l.park()
+			l.finish(m, conn.Open)
+			return
+		}
+	}
+}
+
+func (l *line) end(e conn.Ending) {
+	l.c.Close()
+	l.over(e)
+}
+
+func (l *line) over(e conn.Ending) {
+	if l.ask != nil {
+		l.finish(nil, e)
+		return
+	}
+	l.worker.forget(l)
+}
+
+// Down ends what was asked. An answer without a length ends with its connection.
+func (l *line) Down(_ *conn.Conn, e conn.Ending) {
+	if l.ask != nil && e == conn.Closed && l.parser.End() {
+		l.finish(l.parser.Message, conn.Open)
+		return
+	}
+	l.over(e)
+}
--- /dev/null
+++ b/internal/workers/workers.go
@@ -0,0 +1,293 @@
+// Package workers carries forwards, probes and cancels to the workers over kept connections, and takes what they
+// call back.
+package workers
+
+import (
+	"strconv"
+	"time"
+
+	"stoatweir/dispatch"
+	"stoatweir/internal/conn"
+	"stoatweir/internal/discovery"
+	"stoatweir/internal/http1"
+	"stoatweir/internal/settings"
+)
+
+const (
+	probeWithin  = 300 * time.Millisecond
+	cancelWithin = time.Second
+	idlePart     = 0.6 // of the workers' idle time: a request must not cross the worker's closing
+	afterNews    = time.Second
+)
+
+// Job is an invocation as it goes to a worker.
+type Job struct {
+	Inv                      dispatch.InvID
+	ID, Method, Target, Host string
+	Fields                   []http1.Field // go on unchanged
+	Body                     []byte
+	GivenUp                  time.Duration // when its client stops waiting
+}
+
+// News is what a worker calls back about a job.
+type News struct {
+	ID, From, State string
+	Share           float64
+	Result          *string
+	Load            *dispatch.Load
+}
+
+// Counts of what went out and how it ended.
+type Counts struct {
+	Sent, Probes, Cancels, News, Strange, Dialled int
+	Ended                                         map[string]int
+}
+
+// Fleet is the workers as seen from here.
+type Fleet struct {
+	Event   func(dispatch.Event)
+	Deliver func(inv dispatch.InvID, result string) // to the client, unless it is gone or has its answer
+	Owed    func(dispatch.InvID) bool               // whether its client still waits for an answer
+	Counts  Counts
+
+	loop     *conn.Loop
+	site     settings.Site
+	keep     int // descriptors left to clients and call-backs
+	workers  map[dispatch.WorkerID]*worker
+	byUID    map[string]*worker
+	byNumber map[number]*forward
+	byName   map[name]*forward
+}
+
+type number struct {
+	inv dispatch.InvID
+	fwd int
+}
+
+// name is how news names a forward: an id alone could be that of a copy elsewhere.
+type name struct{ id, uid string }
+
+type worker struct {
+	uid, endpoint string
+	id            dispatch.WorkerID
+	standing      dispatch.Standing
+	idle          []*line // used last is last
+}
+
+type forward struct {
+	job      *Job
+	number   int
+	worker   *worker
+	line     *line // until the worker has taken it
+	taken    bool  // by a 202: the connection is free, the worker's slot is not
+	deadline *conn.Alarm
+}
+
+// NewFleet knows no workers yet. Of the descriptors, keep are not for it.
+func NewFleet(loop *conn.Loop, site settings.Site, keep int) *Fleet {
+	return &Fleet{loop: loop, site: site, keep: keep, workers: map[dispatch.WorkerID]*worker{},
+		byUID: map[string]*worker{}, byNumber: map[number]*forward{}, byName: map[name]*forward{},
+		Counts: Counts{Ended: map[string]int{}}}
+}
+
+// List follows the list.
+func (f *Fleet) List(list discovery.List) {
+	named := map[string]bool{}
+	for _, e := range list.Workers {
+		w := f.byUID[e.UID]
+		if w == nil {
+			w = &worker{uid: e.UID, id: e.Worker, endpoint: e.Endpoint}
+			f.byUID[e.UID], f.workers[e.Worker] = w, w
+		}
+		if named[e.UID] = true; e.Endpoint != w.endpoint && e.Standing != dispatch.Gone {
+			w.endpoint = e.Endpoint
+			w.shutIdle()
+		}
+		w.stand(e.Standing)
+	}
+	if list.Form == dispatch.ListWhole {
+		for uid, w := range f.byUID {
+			if !named[uid] {
+				w.stand(dispatch.Gone)
+			}
+		}
+	}
+}
+
+func (w *worker) stand(s dispatch.Standing) {
+	if w.standing = s; s == dispatch.Gone {
+		w.shutIdle()
+	}
+}
+
+// Forward sends a job; its end is told as an event.
+func (f *Fleet) Forward(job *Job, fwd int, to dispatch.WorkerID) {
+	w := f.workers[to]
+	o := &forward{job: job, number: fwd, worker: w}
+	if w == nil || !f.Owed(job.Inv) {
+		f.Event(dispatch.Outcome{Inv: job.Inv, Worker: to, Forward: fwd, Result: conn.Unsent.Result(),
+			Closed: !f.Owed(job.Inv)})
+		return
+	}
+	f.Counts.Sent++
+	f.byNumber[number{job.Inv, fwd}], f.byName[name{job.ID, w.uid}] = o, o
+	o.deadline = f.loop.After(job.GivenUp-f.loop.Now(), func() { f.end(o, conn.Expired, nil) })
+	o.line = f.ask(w, &ask{
+		request: func() []byte {
+			// The connection may have taken its time to come up: nothing is sent to a worker that drains by now.
+			if w.standing != dispatch.Ready {
+				return nil
+			}
+			left := max(0, job.GivenUp-f.loop.Now()).Seconds()
+			return http1.Request(job.Method, job.Target, job.Host, job.Body,
+				append(job.Fields, http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...)
+		},
+		done: func(m *http1.Message, e conn.Ending) {
+			o.line = nil
+			if m != nil && m.Status == 202 {
+				o.taken = true
+				return
+			}
+			if m != nil {
+				// A result comes by news alone: an answer that looks like one is no worker's.
+				if e = answered(m); e == conn.Served {
+					e = conn.Garbage
+				}
+			}
+			f.end(o, e, f.load(m))
+		},
+	})
+}
+
+// answered tells what an answer other than 202 to a forward, or any to a probe, amounts to.
+func answered(m *http1.Message) conn.Ending {
+	switch {
+	case m.Status == 200:
+		return conn.Served
+	case (m.Status == 503 || m.Status == 504) && m.Header.Get("X-Rejected") == "1":
+		return conn.TurnedAway
+	}
+	return conn.Faulted
+}
+
+func (f *Fleet) load(m *http1.Message) *dispatch.Load {
+	if m == nil || m.Header.Get("X-Load-Report") == "" {
+		return nil
+	}
+	return f.site.Report.Parse(m.Header.Get("X-Load-Report"))
+}
+
+// end is where every forward ends, once.
+func (f *Fleet) end(o *forward, e conn.Ending, load *dispatch.Load) {
+	key := number{o.job.Inv, o.number}
+	if f.byNumber[key] != o {
+		return
+	}
+	delete(f.byNumber, key)
+	delete(f.byName, name{o.job.ID, o.worker.uid})
+	o.deadline.Stop()
+	switch l := o.line; {
+	case l == nil:
+	case e == conn.CalledOff || e == conn.Expired:
+		l.drop() // before the 202 a forward is given up by closing the connection
+	default: // news came before the 202, which may still follow
+		l.ask.done = func(*http1.Message, conn.Ending) {}
+		l.ask.limit = f.loop.After(afterNews, l.drop)
+	}
+	if o.taken && (e == conn.CalledOff || e == conn.Expired) && f.site.Deployment.Allowed.Cancel {
+		f.cancel(o)
+	}
+	f.Counts.Ended[e.String()]++
+	f.Event(dispatch.Outcome{Inv: o.job.Inv, Worker: o.worker.id, Forward: o.number, Result: e.Result(), Load: load,
+		Closed: !f.Owed(o.job.Inv)})
+}
+
+func (f *Fleet) cancel(o *forward) {
+	f.Counts.Cancels++
+	request := http1.Request("DELETE", "/jobs/"+o.job.ID, o.job.Host, nil)
+	a := &ask{request: func() []byte { return request }, done: func(*http1.Message, conn.Ending) {}}
+	if l := f.ask(o.worker, a); l != nil {
+		a.limit = f.loop.After(cancelWithin, l.drop)
+	}
+}
+
+// Cancel gives a forward up; one that has ended by now has had its event.
+func (f *Fleet) Cancel(inv dispatch.InvID, fwd int) {
+	if o := f.byNumber[number{inv, fwd}]; o != nil {
+		f.end(o, conn.CalledOff, nil)
+	}
+}
+
+// Probe asks a worker for its load.
+func (f *Fleet) Probe(id dispatch.WorkerID) {
+	w, asked := f.workers[id], f.loop.Now()
+	if w == nil {
+		f.Event(dispatch.Answer{Worker: id, Result: conn.Refused.Result()})
+		return
+	}
+	f.Counts.Probes++
+	path := "/-/healthy"
+	if len(f.site.Report.Names) > 0 {
+		path = "/-/load"
+	}
+	request := http1.Request("GET", path, w.endpoint, nil)
+	answer := func(e conn.Ending, load *dispatch.Load) {
+		f.Event(dispatch.Answer{Worker: id, Result: e.Result(), Took: f.loop.Now() - asked, Load: load})
+	}
+	a := &ask{request: func() []byte { return request }}
+	a.done = func(m *http1.Message, e conn.Ending) {
+		load := f.load(m)
+		if m != nil {
+			if e = answered(m); load == nil && len(m.Body) > 0 {
+				load = f.site.Report.Parse(string(m.Body))
+			}
+		}
+		answer(e, load)
+	}
+	if l := f.ask(w, a); l != nil {
+		a.limit = f.loop.After(probeWithin, func() {
+			// The others that are kept may be as dead: work that is sent on a new one that never comes up has
+			// provably not run, and is free to go elsewhere.
+			l.drop()
+			w.shutIdle()
+			answer(conn.Stalled, nil)
+		})
+	}
+}
+
+// Take passes news on once: the end of a forward takes it out of the books, so that repeats, late ones and those
+// for ids that this process never sent meet nothing.
+func (f *Fleet) Take(n News) {
+	f.Counts.News++
+	o := f.byName[name{n.ID, n.From}]
+	if o == nil {
+		f.Counts.Strange++
+		return
+	}
+	sign := dispatch.Sign{Inv: o.job.Inv, Worker: o.worker.id, Forward: o.number, Done: n.Share}
+	switch n.State {
+	case "started":
+		sign.Started = true
+		f.Event(sign)
+	case "running":
+		f.Event(sign)
+	case "done":
+		if n.Result == nil {
+			f.end(o, conn.Garbage, n.Load)
+			return
+		}
+		f.Deliver(o.job.Inv, *n.Result)
+		f.end(o, conn.Served, n.Load)
+	case "failed":
+		f.end(o, conn.Faulted, n.Load)
+	case "returned":
+		f.end(o, conn.HandedBack, n.Load)
+	case "lost":
+		f.end(o, conn.Lost, n.Load)
+	default:
+		f.Counts.Strange++
+	}
+}
+
+// Out counts the forwards that are under way.
+func (f *Fleet) Out() int { return len(f.byNumber) }
