--- a/cmd/stoatweir/main.go
+++ b/cmd/stoatweir/main.go
@@ -38,8 +38,6 @@
 			s.loop.Put(stop{s})
 		}
 	}()
-	if err := s.run(listener); err != nil {
-		log.WithError(err).Fatal("can't serve")
-	}
+	s.run(listener)
 	fmt.Fprintf(os.Stderr, "%s\n", s.report())
 }
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"time"
 
@@ -56,8 +55,8 @@
 	loop := conn.NewLoop(start, sockets)
 	s := &service{loop: loop, log: log, site: node.Site, known: node.Known, jobs: map[dispatch.InvID]*job{},
 		core: dispatch.New(node.Site.Deployment, node.Seed), last: -1,
-		door:  clients.New(loop, node.Site, sockets/2),
-		fleet: workers.NewFleet(loop, node.Site, sockets/4),
+		door:  clients.New(loop, node.Site, sockets*6/10),
+		fleet: workers.NewFleet(loop, node.Site, sockets/8),
 		list:  discovery.New(loop, node.Discovery, node.Site.Zones, node.Site.Kinds, start),
 		waits: hdrhistogram.New(1, time.Minute.Microseconds(), 3), thinks: hdrhistogram.New(1, 1e7, 2)}
 	event := func(e dispatch.Event) { s.events = append(s.events, e) }
@@ -73,11 +72,11 @@
 }
 
 // run serves until the order to stop has been carried out.
-func (s *service) run(l net.Listener) error {
+func (s *service) run(l net.Listener) {
 	if len(s.known) > 0 {
 		list, err := s.list.Parse(s.known)
 		if err != nil {
-			return fmt.Errorf("known: %w", err)
+			s.log.Warn("known: ", err) // discovery will tell
 		}
 		list.Form = dispatch.ListWhole
 		s.fleet.List(list)
@@ -92,7 +91,6 @@
 	s.decide()
 	s.door.Listen(l)
 	s.loop.Run(s.decide)
-	return nil
 }
 
 // told takes news of the list in.
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -80,6 +80,7 @@
 	}
 	loop.Freed = func() {
 		if d.waits {
+			d.waits = false // before anything that may free another one: one leave at a time
 			d.accept()
 		}
 	}
@@ -190,7 +191,7 @@
 
 // FailAll answers whatever is still owed.
 func (d *Door) FailAll() {
-	for inv := range d.inHand {
+	for _, inv := range slices.Sorted(maps.Keys(d.inHand)) {
 		d.Fail(inv)
 		d.Event(dispatch.Withdrawn{Inv: inv})
 	}
@@ -247,7 +248,6 @@
 // Read takes a request in. One at a time: what follows before the answer stays in the ring, and the connection ends
 // with that answer, as clients wait for answers and a front that does not could mix them up.
 func (v *visit) Read(c *conn.Conn) {
-	v.c = c
 	c.Idle(false)
 	for c.In.Len() > 0 && v.inv == 0 && !v.last {
 		n, step, err := v.parser.Feed(c.In.Bytes())
@@ -256,6 +256,9 @@
 			v.malformed(err.(*http1.Bad).Status)
 			return
 		}
+		if v.parser.Expects() {
+			c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		}
 		if step == http1.Whole {
 			v.slow.Stop()
 			v.slow = nil
--- a/internal/conn/loop.go
+++ b/internal/conn/loop.go
@@ -51,13 +51,10 @@
 			l.take(n)
 		case <-timer.C:
 		}
-		for more := true; more; { // what has come meanwhile belongs to the same moment for the decisions
-			select {
-			case n := <-l.inbox:
-				l.take(n)
-			default:
-				more = false
-			}
+		// What has come meanwhile belongs to the same moment for the decisions; no more than that, as a flood of
+		// notes must not keep the alarms from ringing.
+		for range len(l.inbox) {
+			l.take(<-l.inbox)
 		}
 		l.now = time.Since(l.start)
 		for len(l.alarms) > 0 && l.alarms[0].at <= l.now {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -119,11 +119,15 @@
 	for _, t := range in.Targets {
 		standing, known := standings[t.State]
 		if !known {
-			return List{}, fmt.Errorf("target %q: state %q is unknown", t.UID, t.State)
+			standing = dispatch.Draining // whatever it is, it is not said to be ready
 		}
+		// One entry that makes no sense must not cost the news of all others.
 		addr, err := netip.ParseAddrPort(t.Endpoint)
-		if t.UID == "" || err != nil && standing != dispatch.Gone {
-			return List{}, fmt.Errorf("target %q: endpoint %q is no address with a port", t.UID, t.Endpoint)
+		if err != nil && standing == dispatch.Ready {
+			standing = dispatch.Draining
+		}
+		if t.UID == "" {
+			continue
 		}
 		e := dispatch.Entry{Worker: w.id(t.UID, addr), Zone: w.zones.at(t.AZ), Kind: w.kinds.at(t.Model),
 			Cell: t.PodGroup, Standing: standing}
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -70,11 +70,22 @@
 	state state
 	head  []byte
 	left  int
+	asked bool
 }
 
 // Started tells whether a message has begun and is not whole.
 func (p *Parser) Started() bool { return p.state != inHead || len(p.head) > 0 }
 
+// Expects tells, once a message, that its sender waits for leave before it sends the body.
+func (p *Parser) Expects() bool {
+	if p.state != inBody && p.state != inChunkSize || p.asked ||
+		!strings.EqualFold(p.Message.Header.Get("Expect"), "100-continue") {
+		return false
+	}
+	p.asked = true
+	return true
+}
+
 // Feed uses bytes up and says how many. After an error the connection is of no more use.
 func (p *Parser) Feed(b []byte) (used int, step Step, err error) {
 	for {
@@ -241,7 +252,7 @@
 	default:
 		p.state = whole
 	}
-	p.Message, p.head = m, p.head[:0]
+	p.Message, p.head, p.asked = m, p.head[:0], false
 	return nil
 }
 
--- a/internal/workers/line.go
+++ b/internal/workers/line.go
@@ -103,31 +103,42 @@
 // Up sends what the connection was opened for.
 func (l *line) Up(*conn.Conn) { l.send() }
 
-// Sent has nothing to do.
-func (l *line) Sent(*conn.Conn) {}
+// Sent makes a connection whose answer came first one to keep.
+func (l *line) Sent(*conn.Conn) {
+	if l.ask == nil {
+		l.expiry.Stop()
+		l.park()
+	}
+}
 
 // Read takes an answer in.
 func (l *line) Read(c *conn.Conn) {
 	for c.In.Len() > 0 {
 		n, step, err := l.parser.Feed(c.In.Bytes())
 		c.In.Drop(n)
-		if l.ask == nil || err != nil || step == http1.Whole && c.Unsent() > 0 {
-			// An answer to nothing, to half a request, or one that can't be read: what comes next could be taken
-			// for the answer to something else.
+		if l.ask == nil || err != nil {
+			// An answer to nothing, or one that can't be read: what comes next could be taken for the answer to
+			// something else.
 			l.end(conn.Garbage)
 			return
 		}
-		if step == http1.Whole {
-			m := l.parser.Message
-			if m.Close || c.In.Len() > 0 {
-				l.finish(m, conn.Open)
-				c.Close()
-				return
-			}
+		if step != http1.Whole {
+			continue
+		}
+		switch m := l.parser.Message; {
+		case m.Close || c.In.Len() > 0:
+			l.finish(m, conn.Open)
+			c.Close()
+		case c.Unsent() > 0:
+			// The answer may overtake the word that the request has gone out, or the worker gives it without
+			// reading on: the connection is of use again only once all is written.
+			l.expiry = l.fleet.loop.After(afterNews, c.Close)
+			l.finish(m, conn.Open)
+		default:
 			l.park()
 			l.finish(m, conn.Open)
-			return
 		}
+		return
 	}
 }
 
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -3,6 +3,7 @@
 package workers
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -140,7 +141,7 @@
 			}
 			left := max(0, job.GivenUp-f.loop.Now()).Seconds()
 			return http1.Request(job.Method, job.Target, job.Host, job.Body,
-				append(job.Fields, http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...)
+				append(slices.Clip(job.Fields), http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...)
 		},
 		done: func(m *http1.Message, e conn.Ending) {
 			o.line = nil
