Test the service's parts against traces, and mend what they showed

Seen in the tests: textproto takes a header name with a blank before its colon as a name of its own, so that a length could hide there; names must be tokens now. A write deadline ended connections of slow readers though they had taken some of it, which would lose their answer; now only one who takes nothing for 20 s. A request's time counts from its last byte, not its first. Connections that only linger may go when descriptors are short.

--- /dev/null
+++ b/cmd/stoatweir/service_test.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"stoatweir/internal/settings"
+)
+
+// serve answers each request on loopback; nil: the connection stays silent.
+func serve(t *testing.T, answer func(first, body string) string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				for r := bufio.NewReader(c); ; {
+					first, body, err := message(r)
+					if err != nil {
+						return
+					}
+					io.WriteString(c, answer(first, body))
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func message(r *bufio.Reader) (first, body string, err error) {
+	text := textproto.NewReader(r)
+	if first, err = text.ReadLine(); err != nil {
+		return "", "", err
+	}
+	head, err := text.ReadMIMEHeader()
+	if err != nil {
+		return "", "", err
+	}
+	size, _ := strconv.Atoi(head.Get("Content-Length"))
+	b := make([]byte, size)
+	_, err = io.ReadFull(r, b)
+	return first, string(b), err
+}
+
+// exchange sends one request and gives the answer's first line and body.
+func exchange(addr, request string) string {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return err.Error()
+	}
+	defer c.Close()
+	io.WriteString(c, request)
+	first, body, err := message(bufio.NewReader(c))
+	if err != nil {
+		return err.Error()
+	}
+	return first + " " + body
+}
+
+func post(path, head, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", path, head, len(body), body)
+}
+
+// The whole way: known list, watch, an invocation to a worker, its news, the answer; then the order to stop, with one
+// invocation in hand that no worker ends: it is answered all the same, and the service ends by itself.
+func TestServeAndStop(t *testing.T) {
+	var node string // where the service listens
+	worker := serve(t, func(first, body string) string {
+		switch {
+		case strings.HasPrefix(first, "GET"):
+			return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nTEXT x0=4"
+		case body == "end":
+			go exchange(node, post("/_jobs/news", "", `{"id":"1","from":"s-1","state":"done","result":"made"}`))
+		}
+		return "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+	})
+	list := `{"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":"` + worker + `","state":"Ready"}]}`
+	discovery := serve(t, func(first, body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(list)+1, list)
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	node = l.Addr().String()
+	config, err := settings.ParseNode([]byte(`{"name":"n0","listen":"`+node+`","discovery":"`+discovery+`","seed":"8c1f",
+		"known":`+list+`,"settings":{"Discovery":"ask","PeersTotal":1,"Report":{"How":"probe","Names":["x0"]},
+		"FamilyInfo":{"ReportX0":"free slots"},"Limits":{"Probes":true,"MostForwards":2},"Rules":{"AskWithin":10},
+		"Operations":[{"Name":"render","Effect":"read_like","LatencyObjective":0.2,"ClientTimeout":0.9}]}}`),
+		func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := newService(config, logrus.NewEntry(log))
+	over := make(chan struct{})
+	go func() { s.run(l); close(over) }()
+	for exchange(node, "GET /-/ready HTTP/1.1\r\n\r\n") != "HTTP/1.1 200 OK " {
+		time.Sleep(time.Millisecond)
+	}
+	head := func(id string) string {
+		return "X-Call-Id: " + id + "\r\nX-Call-Class: render\r\nX-Budget: 5.0\r\n"
+	}
+	if got := exchange(node, post("/render", head("1"), "end")); got != "HTTP/1.1 200 OK made" {
+		t.Error("served:", got)
+	}
+	answer := make(chan string)
+	go func() { answer <- exchange(node, post("/render", head("2"), "never")) }()
+	for !strings.Contains(exchange(node, "GET /-/counts HTTP/1.1\r\n\r\n"), `"TakenIn":2`) {
+		time.Sleep(time.Millisecond)
+	}
+	s.loop.Put(stop{s})
+	if got := exchange(node, "GET /-/ready HTTP/1.1\r\n\r\n"); got != "HTTP/1.1 503 Service Unavailable " {
+		t.Error("ready while it leaves:", got)
+	}
+	if got := <-answer; got != "HTTP/1.1 500 Internal Server Error " {
+		t.Error("left over:", got)
+	}
+	select {
+	case <-over:
+	case <-time.After(5 * time.Second):
+		t.Error("it does not end")
+	}
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -21,11 +21,11 @@
 	newsPath, readyPath, countsPath = "/_jobs/news", "/-/ready", "/-/counts"
 
 	// early is how long before its client stops waiting an invocation counts as given up: the request was on its way
-	// before its first byte was read here, and the answer has a way to go too.
+	// before it was read here, and the answer has a way to go too.
 	early = 5 * time.Millisecond
 	// overdue is how long after that the door answers by itself, should the decisions not have.
 	overdue  = 25 * time.Millisecond
-	readIn   = 5 * time.Second // a request has to be whole by then
+	readIn   = 10 * time.Second // a request has to be whole by then
 	spare    = 8               // descriptors that accepting leaves
 	maxTimes = 1e6             // seconds of a budget
 )
@@ -367,7 +367,7 @@
 		return
 	}
 	now := d.loop.Now()
-	givenUp := v.c.Since + settings.Span(budget) - early
+	givenUp := now + settings.Span(budget) - early // a request's time counts from its last byte
 	if d.leavesAt > 0 {
 		givenUp = min(givenUp, d.leavesAt)
 	}
--- /dev/null
+++ b/internal/clients/clients_test.go
@@ -0,0 +1,250 @@
+package clients
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"stoatweir/dispatch"
+	"stoatweir/internal/conn"
+	"stoatweir/internal/settings"
+	"stoatweir/internal/workers"
+)
+
+// open listens on loopback; what happens at the door is printed, and done is asked after each.
+func open(most int) (l *conn.Loop, d *Door, addr string, shut func()) {
+	site, err := settings.ParseSite([]byte(`{"Operations": [{"Name": "render", "Effect": "read_like"},
+		{"Name": "sale", "Effect": "idempotency_key"}], "Tenants": [{"Name": "kestrel"}, {"Name": "oak"}],
+		"FamilyInfo": {"ReportX0": "free slots"}, "Report": {"How": "answers", "Names": ["x0"]}}`))
+	if err != nil {
+		panic(err)
+	}
+	l = conn.NewLoop(time.Now(), 40)
+	d = New(l, site, most)
+	d.Event = func(e dispatch.Event) {
+		if a, is := e.(dispatch.Arrival); is {
+			fmt.Printf("inv %d: operation %d tenant %d slots %v hint %v budget %v\n", a.Inv, a.Operation, a.Tenant,
+				a.Slots, a.Hint, a.Budget.Round(100*time.Millisecond))
+			return
+		}
+		fmt.Printf("%T%+v\n", e, e)
+	}
+	d.Took = func(j *workers.Job) { fmt.Println("job", j.ID, j.Method, j.Target, j.Host, j.Fields, string(j.Body)) }
+	d.News = func(n workers.News) { fmt.Println("news", n.ID, n.From, n.State, n.Share, n.Load != nil) }
+	d.Served = func(time.Duration) {}
+	d.Ready, d.Report = func() bool { return true }, func() []byte { return []byte("{}") }
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	d.Listen(listener)
+	return l, d, listener.Addr().String(), func() { listener.Close() }
+}
+
+// until runs the loop in which the door lives.
+func until(l *conn.Loop, what string, done func() bool) {
+	late := l.After(10*time.Second, func() { panic("waited in vain for " + what) })
+	l.Run(func() {
+		if done() {
+			l.Stop()
+		}
+	})
+	late.Stop()
+}
+
+// ask sends a text on a new connection and prints what comes back until the connection ends.
+func ask(l *conn.Loop, addr, text string) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		panic(err)
+	}
+	answer := make(chan string, 1)
+	go func() {
+		c.Write([]byte(text))
+		b, _ := io.ReadAll(c)
+		c.Close()
+		answer <- string(b)
+	}()
+	got, over := "", false
+	until(l, "an answer", func() bool {
+		select {
+		case got = <-answer:
+			over = true
+		default:
+			l.After(time.Millisecond, func() {})
+		}
+		return over
+	})
+	for line := range strings.SplitSeq(got, "HTTP/1.1 ") {
+		if line != "" {
+			fmt.Printf("%q\n", line)
+		}
+	}
+}
+
+const job = "POST /render/7f3a?x=1 HTTP/1.1\r\nHost: backend\r\nX-Call-Id: 9b1f\r\nX-Call-Class: render\r\nX-Caller: oak\r\n" +
+	"X-Budget: 2.500\r\nX-Call-Cost: 250000\r\nX-Call-Info: slots=2,x=1\r\nContent-Length: 4\r\n\r\nbody"
+
+// One final answer each, with the worker's result as it was given, or a refusal that says when to come back.
+func Example_answers() {
+	l, d, addr, shut := open(10)
+	defer shut()
+	take := d.Event
+	d.Event = func(e dispatch.Event) {
+		take(e)
+		switch a := e.(dispatch.Arrival); a.Inv {
+		case 1:
+			d.Deliver(a.Inv, "result")
+			d.Deliver(a.Inv, "again")
+			d.Fail(a.Inv)
+		case 2:
+			d.Throttle(a.Inv, 500*time.Millisecond)
+		case 3:
+			d.Fail(a.Inv)
+		}
+		fmt.Println("owed:", d.InHand())
+	}
+	last := strings.Replace(job, "X-Caller: oak", "Connection: close", 1)
+	ask(l, addr, job+strings.Replace(job, "9b1f", "9b20", 1)+last)
+	fmt.Printf("%+v\n", d.Counts)
+	// Output:
+	// job 9b1f POST /render/7f3a?x=1 backend [{X-Call-Class render} {X-Call-Cost 250000} {X-Call-Id 9b1f} {X-Call-Info slots=2,x=1} {X-Caller oak}] body
+	// inv 1: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
+	// owed: 0
+	// job 9b20 POST /render/7f3a?x=1 backend [{X-Call-Class render} {X-Call-Cost 250000} {X-Call-Id 9b20} {X-Call-Info slots=2,x=1} {X-Caller oak}] body
+	// inv 2: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
+	// owed: 0
+	// job 9b1f POST /render/7f3a?x=1 backend [{X-Call-Class render} {X-Call-Cost 250000} {X-Call-Id 9b1f} {X-Call-Info slots=2,x=1}] body
+	// inv 3: operation 0 tenant 0 slots 2 hint 0.25 budget 2.5s
+	// owed: 0
+	// "200 OK\r\nContent-Length: 6\r\n\r\nresult"
+	// "503 Service Unavailable\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n"
+	// "500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// {Connections:1 TakenIn:3 Succeeded:1 Throttled:1 Errored:1 Left:0 Overdue:0 Malformed:0 Crowded:0}
+}
+
+// What makes no sense gets a plain status, and nothing of it reaches the decisions.
+func Example_badInput() {
+	l, d, addr, shut := open(10)
+	defer shut()
+	closing := strings.Replace(job, "X-Caller: oak", "Connection: close", 1)
+	for _, change := range [][2]string{
+		{"/render/", "/unheard/"}, {"Class: render", "Class: unheard"}, {"Class: render", "Class: sale"},
+		{"X-Call-Id: 9b1f\r\n", ""}, {"X-Budget: 2.500\r\n", ""}, {"2.500", "soon"}, {"2.500", "-1"}, {"2.500", "NaN"},
+		{"250000", "lots"}, {"slots=2", "slots=-2"}, {"POST", "PUT"}, {"Content-Length", "Content-Length: 4\r\nContent-Length"},
+		{"POST /render/7f3a", "POST /_jobs/news"}, {" HTTP/1.1", ""},
+		{"/render/7f3a?x=1 HTTP/1.1\r\nHost: backend\r\nX-Call-Id: 9b1f\r\nX-Call-Class: render", "/sale/1 HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: sale"},
+	} {
+		ask(l, addr, strings.Replace(closing, change[0], change[1], 1))
+	}
+	fmt.Println(d.Counts.TakenIn, d.Counts.Malformed)
+	// Output:
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "404 Not Found\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "405 Method Not Allowed\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// 0 15
+}
+
+// News is answered whatever it is about, and read in whole.
+func Example_news() {
+	l, _, addr, shut := open(10)
+	defer shut()
+	for _, body := range []string{`{"id":"9b1f","from":"s-1","state":"running","share":0.4}`,
+		`{"id":"unheard","from":"s-2","state":"failed","load":{"x0":2}}`, `{"id":`} {
+		ask(l, addr, fmt.Sprintf("POST /_jobs/news HTTP/1.1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	}
+	// Output:
+	// news 9b1f s-1 running 0.4 false
+	// "204 No Content\r\nConnection: close\r\n\r\n"
+	// news unheard s-2 failed 0 true
+	// "204 No Content\r\nConnection: close\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+}
+
+// A client that closes has gone away; an id in hand is not taken twice; more in hand than there are descriptors for
+// is refused; what the decisions forget is answered all the same, once its time is over.
+func Example_leftAndOverdue() {
+	l, d, addr, shut := open(2)
+	defer shut()
+	send := func(text string) net.Conn {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			panic(err)
+		}
+		c.Write([]byte(text))
+		return c
+	}
+	c := send(job)
+	until(l, "the job", func() bool { return d.InHand() == 1 })
+	ask(l, addr, strings.Replace(job, "X-Caller: oak", "Connection: close", 1))
+	c.Close()
+	until(l, "its client to leave", func() bool { return d.InHand() == 0 })
+	c = send(job)
+	until(l, "the job again", func() bool { return d.InHand() == 1 })
+	closing := strings.Replace(job, "X-Caller: oak", "Connection: close", 1)
+	ask(l, addr, strings.NewReplacer("9b1f", "9b20", "2.500", "0.010").Replace(closing))
+	send(strings.Replace(job, "9b1f", "9b21", 1))
+	until(l, "the second job", func() bool { return d.InHand() == 2 })
+	ask(l, addr, strings.Replace(closing, "9b1f", "9b22", 1))
+	c.Close()
+	fmt.Printf("%+v\n", d.Counts)
+	// Output:
+	// job 9b1f POST /render/7f3a?x=1 backend [{X-Call-Class render} {X-Call-Cost 250000} {X-Call-Id 9b1f} {X-Call-Info slots=2,x=1} {X-Caller oak}] body
+	// inv 1: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
+	// "409 Conflict\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// dispatch.Withdrawn{Inv:1}
+	// job 9b1f POST /render/7f3a?x=1 backend [{X-Call-Class render} {X-Call-Cost 250000} {X-Call-Id 9b1f} {X-Call-Info slots=2,x=1} {X-Caller oak}] body
+	// inv 2: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
+	// job 9b20 POST /render/7f3a?x=1 backend [{X-Call-Class render} {X-Call-Cost 250000} {X-Call-Id 9b20} {X-Call-Info slots=2,x=1}] body
+	// inv 3: operation 0 tenant 0 slots 2 hint 0.25 budget 0s
+	// dispatch.Withdrawn{Inv:3}
+	// "500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// job 9b21 POST /render/7f3a?x=1 backend [{X-Call-Class render} {X-Call-Cost 250000} {X-Call-Id 9b21} {X-Call-Info slots=2,x=1} {X-Caller oak}] body
+	// inv 4: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
+	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// {Connections:6 TakenIn:4 Succeeded:0 Throttled:0 Errored:1 Left:1 Overdue:1 Malformed:1 Crowded:1}
+}
+
+// While it leaves, the door is not ready, takes what still comes, ends each connection with its answer, and shuts
+// idle ones.
+func Example_leave() {
+	l, d, addr, shut := open(10)
+	defer shut()
+	ask(l, addr, "GET /-/ready HTTP/1.1\r\nConnection: close\r\n\r\n")
+	idle, err := net.Dial("tcp", addr)
+	if err != nil {
+		panic(err)
+	}
+	idle.Write([]byte("GET /-/counts HTTP/1.1\r\n\r\n"))
+	until(l, "the idle one", func() bool { return d.Counts.Connections == 2 && len(d.visits) == 1 && !d.Unsent() && l.Sockets() == 1 })
+	l.After(20*time.Millisecond, func() { d.Leave(l.Now() + 200*time.Millisecond) })
+	until(l, "the idle one's end", func() bool { return d.leavesAt > 0 && len(d.visits) == 0 })
+	b, _ := io.ReadAll(idle)
+	fmt.Printf("%q\n", b)
+	idle.Close()
+	ask(l, addr, "GET /-/ready HTTP/1.1\r\n\r\n")
+	l.After(50*time.Millisecond, d.FailAll)
+	ask(l, addr, job)
+	// Output:
+	// "200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// job 9b1f POST /render/7f3a?x=1 backend [{X-Call-Class render} {X-Call-Cost 250000} {X-Call-Id 9b1f} {X-Call-Info slots=2,x=1} {X-Caller oak}] body
+	// inv 1: operation 0 tenant 1 slots 2 hint 0.25 budget 200ms
+	// dispatch.Withdrawn{Inv:1}
+	// "500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -12,8 +12,9 @@
 	"stoatweir/internal/ring"
 )
 
-// writeWithin is how long a peer may take nothing of what is written to it.
-const writeWithin = 3 * time.Second
+// writeWithin is how long a peer may take nothing of what is written to it. A slow reader that takes a little now and
+// then gets all of it: cutting an answer short would lose the invocation.
+const writeWithin = 20 * time.Second
 
 // lingers is how long a closed connection may still take in what its peer sends, as closing with unread bytes would
 // reset it and could cost the peer the answer.
@@ -30,8 +31,7 @@
 // Conn is a connection with one ring a direction. A goroutine each way moves bytes between socket and ring, and
 // owns just the run of bytes that it was handed; all else belongs to the loop.
 type Conn struct {
-	In    ring.Buffer
-	Since time.Duration // when the first of the bytes in In came
+	In ring.Buffer
 
 	loop             *Loop
 	owner            Owner
@@ -96,6 +96,9 @@
 		for b := range c.toWrite {
 			c.net.SetWriteDeadline(time.Now().Add(writeWithin))
 			n, err := c.net.Write(b)
+			if n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+				err = nil // the rest is handed over again
+			}
 			c.loop.Put(note{Conn: c, n: n, err: err, what: wrote})
 		}
 	}()
@@ -112,9 +115,6 @@
 	case read:
 		c.reading = false
 		if n.n > 0 && !c.ended {
-			if c.In.Len() == 0 {
-				c.Since = c.loop.now
-			}
 			if c.In.Add(n.n); c.quits {
 				c.drain()
 			} else {
@@ -173,9 +173,6 @@
 	} else if errors.Is(n.err, os.ErrDeadlineExceeded) {
 		e = Stalled
 	}
-	if c.quits { // the owner has let go of it
-		c.owner = nil
-	}
 	c.end(e)
 }
 
@@ -222,7 +219,7 @@
 	if c.ended || c.quits {
 		return
 	}
-	c.quits = true
+	c.quits, c.owner = true, nil
 	c.drain()
 	if c.Resume(); c.Unsent() == 0 {
 		c.shut()
@@ -233,6 +230,7 @@
 	if tcp, is := c.net.(*net.TCPConn); is {
 		tcp.CloseWrite()
 	}
+	c.Idle(true) // nothing is owed on it any more
 	c.loop.After(lingers, func() { c.Close() })
 }
 
--- /dev/null
+++ b/internal/conn/conn_test.go
@@ -0,0 +1,201 @@
+package conn
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// owner writes down what it is told.
+type owner struct {
+	got  []byte
+	seen []string
+	read func(c *Conn)
+	up   func(c *Conn)
+}
+
+func (o *owner) Up(c *Conn) {
+	o.seen = append(o.seen, "up")
+	if o.up != nil {
+		o.up(c)
+	}
+}
+func (o *owner) Read(c *Conn) {
+	for c.In.Len() > 0 {
+		b := c.In.Bytes()
+		o.got = append(o.got, b...)
+		c.In.Drop(len(b))
+	}
+	if o.read != nil {
+		o.read(c)
+	}
+}
+func (o *owner) Sent(*Conn)             { o.seen = append(o.seen, "sent") }
+func (o *owner) Down(_ *Conn, e Ending) { o.seen = append(o.seen, e.String()) }
+
+// await runs the loop until what is waited for has happened.
+func await(l *Loop, what string, done func() bool) {
+	late := l.After(10*time.Second, func() { panic("waited in vain for " + what) })
+	l.Run(func() {
+		if done() {
+			l.Stop()
+		}
+	})
+	late.Stop()
+}
+
+// peer listens on loopback and treats each connection as told.
+func peer(treat func(net.Conn)) (addr string, shut func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go treat(c)
+		}
+	}()
+	return l.Addr().String(), func() { l.Close() }
+}
+
+// Only an ending that proves a non-run may let a non-idempotent invocation go out again.
+func Example_results() {
+	for e := Refused; e <= Unsent; e++ {
+		fmt.Println(e, e.Result())
+	}
+	// Output:
+	// refused 4
+	// never up 4
+	// crowded 4
+	// withheld 4
+	// cut short 4
+	// closed 5
+	// reset 5
+	// stalled 3
+	// garbage 1
+	// turned away 2
+	// handed back 2
+	// faulted 1
+	// lost 5
+	// served 0
+	// expired 3
+	// called off 6
+	// unsent 7
+}
+
+// How a connection ends decides whether its request may have run: gone out whole or not.
+func Example_endings() {
+	end := func(title, addr string, within time.Duration, size int) {
+		l := NewLoop(time.Now(), 10)
+		o := &owner{up: func(c *Conn) { c.Write(make([]byte, size)) }}
+		l.Dial(addr, within, o)
+		await(l, title, func() bool {
+			return len(o.seen) > 0 && o.seen[len(o.seen)-1] != "up" && o.seen[len(o.seen)-1] != "sent"
+		})
+		fmt.Println(title+":", o.seen, "in use:", l.Sockets())
+	}
+	addr, shut := peer(func(c net.Conn) { io.CopyN(io.Discard, c, 100); c.Close() })
+	end("closed after the whole request", addr, time.Second, 100)
+	end("no time to come up", addr, time.Nanosecond, 100)
+	shut()
+	end("nobody listens", addr, time.Second, 100)
+	addr, shut = peer(func(c net.Conn) {
+		c.(*net.TCPConn).SetLinger(0)
+		io.CopyN(io.Discard, c, 100)
+		c.Close()
+	})
+	end("reset with most of the request unread", addr, time.Second, 64<<20)
+	shut()
+	// Output:
+	// closed after the whole request: [up sent closed] in use: 0
+	// no time to come up: [never up] in use: 0
+	// nobody listens: [refused] in use: 0
+	// reset with most of the request unread: [up cut short] in use: 0
+}
+
+// A long answer passes through the small ring whole, also when the connection is to end with it, and what the peer
+// still sends does not cost it the answer.
+func TestQuitDeliversTheWholeAnswer(t *testing.T) {
+	l := NewLoop(time.Now(), 10)
+	var got []byte
+	over := make(chan struct{})
+	addr, shut := peer(func(c net.Conn) {
+		c.Write(make([]byte, 10000)) // more than is read before the answer
+		time.Sleep(20 * time.Millisecond)
+		got, _ = io.ReadAll(c)
+		c.Close()
+		close(over)
+	})
+	defer shut()
+	want := bytes.Repeat([]byte("answer"), 20000)
+	o := &owner{read: func(c *Conn) { c.Write(want); c.Quit() }}
+	l.Dial(addr, time.Second, o)
+	await(l, "the end", func() bool {
+		select {
+		case <-over:
+			return l.Sockets() == 0
+		default:
+			l.After(5*time.Millisecond, func() {})
+			return false
+		}
+	})
+	if !bytes.Equal(got, want) {
+		t.Errorf("%d bytes of %d came", len(got), len(want))
+	}
+}
+
+// An aborted connection attempt sends nothing and tells nothing.
+func TestCloseWhileComingUp(t *testing.T) {
+	l := NewLoop(time.Now(), 10)
+	addr, shut := peer(func(c net.Conn) {})
+	defer shut()
+	o := &owner{}
+	l.Dial(addr, time.Second, o).Close()
+	await(l, "the descriptor", func() bool { return l.Sockets() == 0 })
+	if len(o.seen) > 0 {
+		t.Errorf("the owner was told: %v", o.seen)
+	}
+}
+
+// For want of descriptors the connection that is idle longest goes, never one that is in use.
+func Example_spare() {
+	l := NewLoop(time.Now(), 4)
+	addr, shut := peer(func(c net.Conn) { io.Copy(io.Discard, c) })
+	defer shut()
+	owners := []*owner{{}, {}, {}}
+	for i, o := range owners {
+		c := l.Dial(addr, time.Second, o)
+		await(l, "the connection", func() bool { return len(o.seen) > 0 })
+		c.Idle(i != 1)
+	}
+	fmt.Println(l.Spare(0), l.Sockets())
+	fmt.Println(l.Spare(2), l.Sockets(), owners[0].seen, owners[1].seen, owners[2].seen)
+	fmt.Println(l.Spare(3), l.Sockets())
+	// Output:
+	// true 3
+	// true 1 [up closed] [up] [up closed]
+	// false 1
+}
+
+// Alarms ring in order, a stopped one not at all, also when it is stopped by another that rings first.
+func Example_alarms() {
+	l := NewLoop(time.Now(), 1)
+	var b *Alarm
+	l.After(3*time.Millisecond, func() { fmt.Println("last"); l.Stop() })
+	l.After(time.Millisecond, func() { fmt.Println("first"); b.Stop() })
+	b = l.After(2*time.Millisecond, func() { fmt.Println("stopped") })
+	l.After(time.Millisecond, func() { fmt.Println("second") })
+	l.Run(func() {})
+	b.Stop()
+	// Output:
+	// first
+	// second
+	// last
+}
--- a/internal/conn/loop.go
+++ b/internal/conn/loop.go
@@ -39,6 +39,7 @@
 
 // Run empties the inbox until Stop; each is called whenever all that has happened so far is in.
 func (l *Loop) Run(each func()) {
+	l.ended = false
 	timer := time.NewTimer(0)
 	for !l.ended {
 		wait := time.Hour
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,132 @@
+package discovery
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/textproto"
+	"time"
+
+	"stoatweir/dispatch"
+	"stoatweir/internal/conn"
+)
+
+func watcher(addr string) (*conn.Loop, *Watcher) {
+	start := time.Now()
+	loop := conn.NewLoop(start, 10)
+	w := New(loop, addr, []string{"site-a", "site-b"}, []string{"fast"}, start)
+	w.Told = func(l List) { show(l) }
+	w.Failed = func(why string) { fmt.Println("failed:", why) }
+	return loop, w
+}
+
+func show(l List) {
+	fmt.Printf("form %d:", l.Form)
+	for _, w := range l.Workers {
+		fmt.Printf(" [%s %s zone %d kind %d cell %d standing %d restarted %v]", w.UID, w.Worker, w.Zone, w.Kind, w.Cell,
+			w.Standing, w.Restarted)
+	}
+	fmt.Println()
+}
+
+// A worker keeps its name when its address changes, and its successor at that address gets another.
+func Example_names() {
+	_, w := watcher("")
+	for _, line := range []string{
+		`{"rev":7,"all":true,"targets":[
+			{"uid":"s-1","endpoint":"127.0.0.1:1","az":"site-b","model":"fast","pod_group":3,"state":"Ready","boot_ms":0}]}`,
+		`{"rev":8,"all":false,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:2","az":"site-b","model":"fast","state":"Ready","boot_ms":1700000000000},
+			{"uid":"s-2","endpoint":"127.0.0.1:1","az":"elsewhere","model":"odd","state":"Ready"}]}`,
+		`{"rev":9,"targets":[{"uid":"s-3","endpoint":"nowhere","state":"Ready"},{"endpoint":"127.0.0.1:3","state":"Ready"},
+			{"uid":"s-1","endpoint":"127.0.0.1:2","az":"site-b","model":"fast","state":"Unheard"},{"uid":"s-2","state":"Gone"}]}`,
+	} {
+		l, err := w.Parse([]byte(line))
+		if err != nil {
+			fmt.Println(err)
+		}
+		show(l)
+	}
+	_, err := w.Parse([]byte(`{"rev":"x"`))
+	fmt.Println(err, w.rev)
+	// Output:
+	// form 2: [s-1 127.0.0.1:1 zone 1 kind 0 cell 3 standing 1 restarted false]
+	// form 1: [s-1 127.0.0.1:1 zone 1 kind 0 cell 0 standing 1 restarted true] [s-2 [::ffff:127.0.0.1%s-2]:1 zone 2 kind 1 cell 0 standing 1 restarted false]
+	// form 1: [s-3 [::%s-3]:0 zone 3 kind 2 cell 0 standing 2 restarted false] [s-1 127.0.0.1:1 zone 1 kind 0 cell 0 standing 2 restarted false] [s-2 [::ffff:127.0.0.1%s-2]:1 zone 3 kind 2 cell 0 standing 0 restarted false]
+	// unexpected end of JSON input 9
+}
+
+// A watch goes on from the version that is known, takes lines in however they are cut up, and is told to have failed
+// when it ends; after a line that makes no sense the next one asks for the whole list.
+func Example_watch() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer l.Close()
+	scripts := make(chan []string, 3)
+	scripts <- []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"rev", "\":4,\r\n",
+		"23\r\n\"all\":true,\"targets\":[]}\n\n{\"rev\":5,\r\n", "e\r\n\"targets\":[]}\n\r\n", "0\r\n\r\n"}
+	scripts <- []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{oh}\r\n", "1\r\n\n\r\n"}
+	scripts <- []string{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			line, _ := textproto.NewReader(bufio.NewReader(c)).ReadLine()
+			fmt.Println(line)
+			for _, part := range <-scripts {
+				c.Write([]byte(part))
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+	}()
+	loop, w := watcher(l.Addr().String())
+	calls := 0
+	w.Told = func(list List) {
+		show(list)
+		if list.Form != dispatch.ListFailed {
+			return
+		}
+		if calls++; calls == 3 {
+			loop.Stop()
+			return
+		}
+		w.Watch()
+	}
+	w.Watch()
+	loop.After(10*time.Second, func() { panic("the watch hangs") })
+	loop.Run(func() {})
+	// Output:
+	// GET /api/targets?stream=1&index=0 HTTP/1.1
+	// form 2:
+	// form 1:
+	// failed: the answer has ended
+	// form 0:
+	// GET /api/targets?stream=1&index=5 HTTP/1.1
+	// failed: invalid character 'o' looking for beginning of object key string
+	// form 0:
+	// GET /api/targets?stream=1&index=0 HTTP/1.1
+	// failed: status 503
+	// form 0:
+}
+
+// A watch that says nothing for longer than its empty lines allow is given up, in time for another to tell.
+func Example_silence() {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // the backlog takes the connection in, and nobody ever answers
+	if err != nil {
+		panic(err)
+	}
+	defer l.Close()
+	loop, w := watcher(l.Addr().String())
+	began := time.Now()
+	w.Told = func(list List) { show(list); loop.Stop() }
+	w.Watch()
+	loop.Run(func() {})
+	fmt.Println(time.Since(began) > silence, silence < 6*time.Second-2*connectIn)
+	// Output:
+	// failed: it is silent
+	// form 0:
+	// true true
+}
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,162 @@
+package http1
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// feed hands text over in pieces of a size and gives what was read, a line a step.
+func feed(p *Parser, text string, size int) (lines []string) {
+	for b := []byte(text); len(b) > 0; {
+		piece := b[:min(size, len(b))]
+		b = b[len(piece):]
+		for more := true; more; {
+			n, step, err := p.Feed(piece)
+			piece = piece[n:]
+			m := p.Message
+			switch {
+			case err != nil:
+				return append(lines, fmt.Sprintf("%d: %v", err.(*Bad).Status, err))
+			case step == Whole && p.Answers:
+				lines = append(lines, fmt.Sprintf("%d %q close=%v", m.Status, m.Body, m.Close))
+			case step == Whole:
+				lines = append(lines, fmt.Sprintf("%s %s %q close=%v", m.Method, m.Target, m.Body, m.Close))
+			case step == Head:
+				lines = append(lines, fmt.Sprintf("head %d", m.Status))
+			case step == Piece:
+				lines = append(lines, fmt.Sprintf("piece %q", p.Piece))
+			}
+			more = step != More
+		}
+	}
+	return lines
+}
+
+func show(p *Parser, text string, size int) {
+	for _, line := range feed(p, text, size) {
+		fmt.Println(line)
+	}
+}
+
+// Requests come whole or a byte at a time, and a body may hold what looks like the end of one.
+func Example_requests() {
+	text := "\r\nPOST /render/7f?x=1 HTTP/1.1\r\nHost: b\r\nContent-Length: 9\r\n\r\n0\r\n\r\nabcd" +
+		"GET /-/ready HTTP/1.1\r\nConnection: Keep-Alive, Close\r\n\r\n" +
+		"POST /a HTTP/1.1\nTransfer-Encoding: chunked\n\n3;x=y\r\nabc\r\n2\nde\r\n0\r\nTrail: 1\r\n\r\n" +
+		"GET /old HTTP/1.0\r\n\r\n"
+	show(&Parser{}, text, 1000)
+	fmt.Println(slices.Equal(feed(&Parser{}, text, 1000), feed(&Parser{}, text, 1)))
+	// Output:
+	// POST /render/7f?x=1 "0\r\n\r\nabcd" close=false
+	// GET /-/ready "" close=true
+	// POST /a "abcde" close=false
+	// GET /old "" close=true
+	// true
+}
+
+// Interim answers are passed over; one without a length lasts until its connection ends.
+func Example_answers() {
+	p := &Parser{Answers: true}
+	show(p, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"+
+		"HTTP/1.1 503\r\nX-Rejected: 1\r\nContent-Length: 2\r\n\r\nno", 7)
+	show(p, "HTTP/1.1 200 OK\r\n\r\nTEXT x0=1", 5)
+	fmt.Println(p.End(), string(p.Message.Body), p.Started())
+	show(&Parser{Answers: true, Stream: true},
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{\"a\":\r\n3\r\n1}\n\r\n1\r\n\n\r\n0\r\n\r\n", 1000)
+	// Output:
+	// 202 "" close=false
+	// 204 "" close=false
+	// 503 "no" close=false
+	// true TEXT x0=1 false
+	// head 200
+	// piece "{\"a\":"
+	// piece "1}\n"
+	// piece "\n"
+	// 200 "" close=false
+}
+
+// What others could read in another way is refused, and nothing may make us keep more than the limits.
+func Example_malformed() {
+	for _, text := range []string{
+		"POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+		"POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+		"POST /a HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
+		"POST /a HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\n",
+		"POST /a HTTP/1.1\r\nContent-Length: 65537\r\n\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("0", 300) + "\r\n",
+		"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("4000\r\n"+strings.Repeat("a", 0x4000)+"\r\n", 5),
+		"POST /a HTTP/1.1\r\nA: b\r\n c\r\n\r\n",
+		"POST /a HTTP/1.1\r\nA : b\r\n\r\n",
+		"POST /a HTTP/1.1\r\nno colon\r\n\r\n",
+		"POST /a HTTP/1.1\r\nA: b\rContent-Length: 3\r\n\r\n",
+		"POST /a HTTP/1.1\r\nA: \x00\r\n\r\n",
+		"POST a HTTP/1.1\r\n\r\n",
+		"POST /a b HTTP/1.1\r\n\r\n",
+		"POST /a HTTP/2.0\r\n\r\n",
+		"\x16\x03\x01\x02\x00\x01",
+		"GET / HTTP/1.1\r\nA: " + strings.Repeat("a", MaxHead) + "\r\n\r\n",
+	} {
+		show(&Parser{}, text, 4096)
+	}
+	show(&Parser{Answers: true}, "HTTP/1.1 abc\r\n\r\n", 99)
+	show(&Parser{Answers: true}, "SSH-2.0-thing\r\n\r\n", 99)
+	// Output:
+	// 400: more than one length
+	// 400: more than one length
+	// 400: more than one length
+	// 501: unknown transfer coding
+	// 400: malformed length
+	// 400: malformed length
+	// 413: body over 65536 bytes
+	// 400: malformed chunk size
+	// 400: chunk longer than its size
+	// 400: line too long between chunks
+	// 413: body over 65536 bytes
+	// 400: folded line in the head
+	// 400: malformed header
+	// 400: malformed header
+	// 400: bare carriage return in the head
+	// 400: control byte 0x0 in the head
+	// 400: malformed request line
+	// 400: malformed request line
+	// 505: no HTTP/1.1
+	// 400: control byte 0x16 in the head
+	// 431: head over 16384 bytes
+	// 502: malformed status line
+	// 502: malformed status line
+}
+
+func Example_written() {
+	fmt.Printf("%q\n", Answer(503, nil, Field{"Retry-After", "0.5"}))
+	fmt.Printf("%q\n", Answer(204, nil))
+	fmt.Printf("%q\n", Request("POST", "/a", "b", []byte("xy"), Field{"X-Call-Id", "9b"}))
+	fmt.Printf("%q\n", Request("DELETE", "/jobs/9b", "b", nil))
+	// Output:
+	// "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n"
+	// "HTTP/1.1 204 No Content\r\n\r\n"
+	// "POST /a HTTP/1.1\r\nHost: b\r\nX-Call-Id: 9b\r\nContent-Length: 2\r\n\r\nxy"
+	// "DELETE /jobs/9b HTTP/1.1\r\nHost: b\r\n\r\n"
+}
+
+// Whatever a peer sends and however it is cut up, the same is read, and bodies keep to their limit.
+func FuzzFeed(f *testing.F) {
+	f.Add("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nabGET / HTTP/1.1\r\n\r\n", 3, false)
+	f.Add("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n", 1, false)
+	f.Add("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nrest", 2, true)
+	f.Fuzz(func(t *testing.T, text string, size int, answers bool) {
+		whole, cut := &Parser{Answers: answers}, &Parser{Answers: answers}
+		a, b := feed(whole, text, len(text)+1), feed(cut, text, max(1, size))
+		if !slices.Equal(a, b) || whole.End() != cut.End() {
+			t.Errorf("in one: %q, in pieces: %q", a, b)
+		}
+		if m := whole.Message; m != nil && len(m.Body) > MaxBody {
+			t.Errorf("a body of %d bytes", len(m.Body))
+		}
+	})
+}
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -180,6 +180,11 @@
 	if err != nil {
 		return bad(400, "malformed header")
 	}
+	for name := range header {
+		if !token(name) { // a length under a name with a blank behind it would be seen by one side alone
+			return bad(400, "malformed header")
+		}
+	}
 	m := &Message{Header: header}
 	version := ""
 	if p.Answers {
@@ -212,7 +217,8 @@
 
 func token(s string) bool {
 	for _, c := range s {
-		if !('A' <= c && c <= 'Z' || c == '-' || 'a' <= c && c <= 'z') {
+		if !('A' <= c && c <= 'Z' || 'a' <= c && c <= 'z' || '0' <= c && c <= '9' ||
+			strings.ContainsRune("!#$%&'*+-.^_`|~", c)) {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/ring/ring_test.go
@@ -0,0 +1,40 @@
+package ring
+
+import (
+	"bytes"
+	"fmt"
+)
+
+// The ring goes round: what is taken in at its end goes on at its beginning, in order.
+func Example_round() {
+	var b Buffer
+	text := bytes.Repeat([]byte("0123456789"), Size/5)
+	fmt.Println("empty:", len(b.Bytes()), "of", len(text), "written:", b.Write(text), "room:", len(b.Room()))
+	b.Drop(Size - 3)
+	fmt.Printf("left: %q, room: %d\n", b.Bytes(), len(b.Room()))
+	fmt.Println("written:", b.Write([]byte("abcdef")))
+	for b.Len() > 0 {
+		fmt.Printf("%q ", b.Bytes())
+		b.Drop(len(b.Bytes()))
+	}
+	b.Free()
+	fmt.Println("after:", b.Len())
+	// Output:
+	// empty: 0 of 8190 written: 4096 room: 0
+	// left: "345", room: 4093
+	// written: 6
+	// "345" "abcdef" after: 0
+}
+
+// A goroutine may fill Room while the owner reads Bytes: the two never share a byte.
+func Example_apart() {
+	var b Buffer
+	b.Write([]byte("held"))
+	copy(b.Room(), "XXXX")
+	fmt.Printf("%q\n", b.Bytes())
+	b.Add(4)
+	fmt.Printf("%q\n", b.Bytes())
+	// Output:
+	// "held"
+	// "heldXXXX"
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -42,8 +42,8 @@
 		Name, Listen, Discovery, Seed string
 		Limits                        struct {
 			MemoryMB int `json:"memory_mb"`
-			Sockets  int
-		}
+			Sockets  int `json:"sockets"`
+		} `json:"limits"`
 		Known    json.RawMessage
 		Settings json.RawMessage
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -34,3 +34,61 @@
 	// settings: Operations[0].DedupScope: "hall" is unknown
 	// settings: PeersTotal: a int is wanted there, not a string
 }
+
+// A message names the key at fault, wherever it stands.
+func Example_node() {
+	env := func(name string) string { return map[string]string{"PROXY_NAME": "n7"}[name] }
+	operations := `"settings":{"Operations":[{"Name":"render","Effect":"read_like","ClientTimeout":5}]}`
+	for _, text := range []string{
+		`{"listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",` + operations + `}`,
+		`{"listen":"127.0.0.1:9000",` + operations + `}`,
+		`{"listen":"here","discovery":"127.0.0.1:8500",` + operations + `}`,
+		`{"listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","seed":"seed",` + operations + `}`,
+		`{"listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","limits":{"sockets":9},` + operations + `}`,
+		`{"listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","limits":{"memory_mb":"all"},` + operations + `}`,
+		`{"listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","settings":{}}`,
+		`{"listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","settings":{"Operations":[{"Effect":"odd"}]}}`,
+	} {
+		n, err := ParseNode([]byte(text), env)
+		if err != nil {
+			fmt.Println(err)
+			continue
+		}
+		fmt.Println(n.Name, n.Listen, n.Discovery, uint64(n.Seed), n.MemoryMB, n.Sockets, n.Site.Operations,
+			n.Site.ConnIdle, n.Site.ConnTimeout, n.Site.LongestTimeout)
+	}
+	_, err := ReadNode(env)
+	fmt.Println(err)
+	// Output:
+	// n7 127.0.0.1:9000 127.0.0.1:8500 10096842570142050660 192 1024 [render] 1m0s 1s 5s
+	// discovery: is not set, nor is PROXY_DISCOVERY
+	// listen: "here" is no address with a port
+	// seed: "seed" is no number of 16 hexadecimal digits
+	// limits.sockets: 9 is too few, 64 are the least
+	// limits.memory_mb: a int is wanted there, not a string
+	// settings: Operations: there are none
+	// settings: Operations[0].Effect: "odd" is unknown
+	// PROXY_CONFIG: names no file
+}
+
+// Reports come as text or JSON, by the deployment's names; what can't be read is no report.
+func Example_report() {
+	r := Report{Names: []string{"waiting", "avg_ms", "x0"}, Meanings: []string{"waiting", "avg_ms", "free slots"}}
+	for _, text := range []string{"TEXT waiting=2, avg_ms=614.3, x0=0.5", `{"x0":3,"other":1}`, "TEXT queue=7", "TEXT x0=much",
+		"TEXT x0=NaN", "TEXT other=1", "{", ""} {
+		if load := r.Parse(text); load != nil {
+			fmt.Println(load.Waiting, load.ServiceTime, load.FreeSlots)
+		} else {
+			fmt.Println("none")
+		}
+	}
+	// Output:
+	// 2 614.3 0.5
+	// 0 0 3
+	// 7 0 -1
+	// none
+	// none
+	// none
+	// none
+	// none
+}
