--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -26,8 +26,8 @@
 	// overdue is how long after that the door answers by itself, should the decisions not have.
 	overdue  = 25 * time.Millisecond
 	readIn   = 10 * time.Second // a request has to be whole by then
-	spare    = 8               // descriptors that accepting leaves
-	maxTimes = 1e6             // seconds of a budget
+	spare    = 8                // descriptors that accepting leaves
+	maxTimes = 1e6              // seconds of a budget
 )
 
 // Counts of what was taken in and how it was answered.
