Take a worker's report of noughts as none until it has measured something

A dump of the pool at each throttling showed all workers with a last figure of 0 free slots for the first 0.5 s; a dump of probe answers showed the first of each worker to be 'waiting=0, avg_ms=0, x0=0', before its first measurement, and the next ones to be empty. At fault: Fleet.Probe passed that on as a figure. Ruled out: lost probes, lag learned wrongly, slow connections (first attempts at 0.2 ms in the median).

--- a/internal/settings/report.go
+++ b/internal/settings/report.go
@@ -81,6 +81,17 @@
 	return &load
 }
 
+// Blank is the report whose every value is nought.
+func (r Report) Blank() dispatch.Load {
+	load := dispatch.NoLoad
+	for place := range r.Names {
+		if field := r.Field(&load, place); field != nil {
+			*field = 0
+		}
+	}
+	return load
+}
+
 func (r *Report) name(names []string, meaning map[string]string) {
 	for _, name := range names {
 		r.Names = append(r.Names, name)
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -72,6 +72,8 @@
 	uid, endpoint string
 	id            dispatch.WorkerID
 	standing      dispatch.Standing
+	startedAt     time.Duration
+	reports       bool    // it has said something of its load since its start
 	idle          []*line // used last is last
 }
 
@@ -104,6 +106,9 @@
 			w.endpoint = e.Endpoint
 			w.shutIdle()
 		}
+		if e.StartedAt != w.startedAt {
+			w.startedAt, w.reports = e.StartedAt, false
+		}
 		w.stand(e.Standing)
 	}
 	if list.Form == dispatch.ListWhole {
@@ -155,7 +160,7 @@
 					e = conn.Garbage
 				}
 			}
-			f.end(o, e, f.load(m))
+			f.end(o, e, f.load(w, m))
 		},
 	})
 }
@@ -171,11 +176,25 @@
 	return conn.Faulted
 }
 
-func (f *Fleet) load(m *http1.Message) *dispatch.Load {
-	if m == nil || m.Header.Get("X-Load-Report") == "" {
+func (f *Fleet) load(w *worker, m *http1.Message) *dispatch.Load {
+	if m == nil {
 		return nil
 	}
-	return f.site.Report.Parse(m.Header.Get("X-Load-Report"))
+	load := f.site.Report.Parse(m.Header.Get("X-Load-Report"))
+	if load == nil {
+		load = f.site.Report.Parse(string(m.Body))
+	}
+	return w.said(load, f.site.Report.Blank())
+}
+
+// said passes a report on. Until a worker has measured anything, its report is all noughts: taken at its word no slot
+// would be free there, and a scheduler that starts with the workers would hold everything until their first figures.
+func (w *worker) said(load *dispatch.Load, blank dispatch.Load) *dispatch.Load {
+	if load == nil || !w.reports && *load == blank {
+		return nil
+	}
+	w.reports = true
+	return load
 }
 
 // end is where every forward ends, once.
@@ -237,13 +256,10 @@
 	}
 	a := &ask{request: func() []byte { return request }}
 	a.done = func(m *http1.Message, e conn.Ending) {
-		load := f.load(m)
 		if m != nil {
-			if e = answered(m); load == nil && len(m.Body) > 0 {
-				load = f.site.Report.Parse(string(m.Body))
-			}
+			e = answered(m)
 		}
-		answer(e, load)
+		answer(e, f.load(w, m))
 	}
 	if l := f.ask(w, a); l != nil {
 		a.limit = f.loop.After(probeWithin, func() {
@@ -265,6 +281,7 @@
 		f.Counts.Strange++
 		return
 	}
+	n.Load = o.worker.said(n.Load, f.site.Report.Blank())
 	sign := dispatch.Sign{Inv: o.job.Inv, Worker: o.worker.id, Forward: o.number, Done: n.Share}
 	switch n.State {
 	case "started":
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -275,6 +275,29 @@
 	// sockets: 0
 }
 
+// Noughts all over are no report until a worker has said something, and again after its restart.
+func Example_blankReports() {
+	blank, some := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nx0=0", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nx0=2"
+	s := perform(blank, some, blank, blank)
+	for range 3 {
+		s.Probe(s.id)
+		s.until(1, 1)
+	}
+	s.List(discovery.List{Form: dispatch.ListDelta, Workers: []discovery.Worker{{UID: "s-1", Endpoint: s.id.String(),
+		Entry: dispatch.Entry{Worker: s.id, Standing: dispatch.Ready, Restarted: true, StartedAt: time.Second}}}})
+	s.Probe(s.id)
+	s.until(1, 1)
+	// Output:
+	// connection 1: GET /-/load HTTP/1.1
+	// probe ends: 0 load=false
+	// connection 1: GET /-/load HTTP/1.1
+	// probe ends: 0 load=true
+	// connection 1: GET /-/load HTTP/1.1
+	// probe ends: 0 load=true
+	// connection 1: GET /-/load HTTP/1.1
+	// probe ends: 0 load=false
+}
+
 // Probes: a report, a refusal, silence. After silence kept connections are not trusted any more.
 func Example_probes() {
 	s := perform("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nTEXT x0=3", turns, "", took)
