Survive a panic of the decisions, answer what a stop leaves over by whether it was sent

A crash voids all that is in hand: a panic in the handling of one note or event is logged with its stack and counted, the module starts anew with the whole list, what the old one had in hand is answered, and its forwards are given up. At the end of a stop what was never sent is throttled (harmless for every operation), the rest errored. An id must be one word: it stands in the path of a cancel, where a blank or a line's end would make another request.

--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -7,10 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"os"
 	"runtime/debug"
 
+	"github.com/sirupsen/logrus"
+
 	"stoatweir/dispatch"
 	"stoatweir/internal/simwire"
 )
@@ -25,10 +26,8 @@
 func main() {
 	// Over a thousand instances may share this process: their memory is small beside what collecting it costs.
 	debug.SetGCPercent(400)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	if err := play(os.Stdin, os.Stdout); err != nil {
-		log.Error("the wire can't be read on", "cause", err.Error())
-		os.Exit(1)
+		logrus.WithError(err).Fatal("the wire can't be read on")
 	}
 }
 
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
+	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -40,6 +43,8 @@
 	last   time.Duration // when the module was last asked
 
 	heard, leaving bool // heard: discovery has told of the list
+	seed           int64
+	panics         int
 	waits, thinks  *hdrhistogram.Histogram
 }
 
@@ -54,7 +59,7 @@
 	sockets := node.Sockets - otherFiles
 	loop := conn.NewLoop(start, sockets)
 	s := &service{loop: loop, log: log, site: node.Site, known: node.Known, jobs: map[dispatch.InvID]*job{},
-		core: dispatch.New(node.Site.Deployment, node.Seed), last: -1,
+		core: dispatch.New(node.Site.Deployment, node.Seed), seed: node.Seed, last: -1,
 		door:  clients.New(loop, node.Site, sockets*6/10),
 		fleet: workers.NewFleet(loop, node.Site, sockets/8),
 		list:  discovery.New(loop, node.Discovery, node.Site.Zones, node.Site.Kinds, start),
@@ -66,7 +71,7 @@
 	s.door.Served = func(t time.Duration) { s.waits.RecordValue(t.Microseconds()) }
 	s.door.Ready = func() bool { return s.heard }
 	s.fleet.Deliver, s.fleet.Owed = s.door.Deliver, s.door.Owed
-	s.list.Told = s.told
+	s.list.Told, loop.Panicked = s.told, s.panicked
 	s.list.Failed = func(why string) { log.Warn("the watch of the list has failed: ", why) }
 	return s
 }
@@ -112,7 +117,11 @@
 		now := max(s.loop.Now(), s.last+1)
 		s.last = now
 		began := time.Now()
-		actions := s.core.Handle(now, events)
+		actions, sound := s.ask(now, events)
+		if !sound {
+			s.restart()
+			continue
+		}
 		s.thinks.RecordValue(time.Since(began).Microseconds())
 		for _, event := range events {
 			s.ended(event)
@@ -123,6 +132,50 @@
 	}
 }
 
+// ask hands events to the module. A mistake in it must not end the program with all that is in hand.
+func (s *service) ask(now time.Duration, events []dispatch.Event) (actions []dispatch.Action, sound bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.panicked(cause)
+		}
+	}()
+	return s.core.Handle(now, events), true
+}
+
+func (s *service) panicked(cause any) {
+	s.panics++
+	s.log.WithField("stack", string(debug.Stack())).Error("panic: ", cause)
+}
+
+// restart begins with a new module that knows the list and nothing else. What is in hand was in the old one's care:
+// it is answered, and its forwards are given up.
+func (s *service) restart() {
+	s.log.Error("the decisions start anew; in hand: ", s.door.InHand())
+	s.failRest()
+	for _, inv := range slices.Sorted(maps.Keys(s.jobs)) {
+		for fwd := range s.jobs[inv].forwards {
+			s.fleet.Cancel(inv, fwd)
+		}
+	}
+	s.jobs = map[dispatch.InvID]*job{}
+	s.seed++
+	s.core = dispatch.New(s.site.Deployment, s.seed)
+	s.events = []dispatch.Event{s.fleet.Listing()}
+	s.list.Watch() // the new one takes its first list for a sign that the watch stands
+}
+
+// failRest answers all that is owed. Where nothing was ever sent, asking again is harmless whatever the operation.
+func (s *service) failRest() {
+	for _, inv := range s.door.Rest() {
+		if j := s.jobs[inv]; j != nil && j.forwards == 0 {
+			s.door.Throttle(inv, 0)
+		} else {
+			s.door.Fail(inv)
+		}
+		s.events = append(s.events, dispatch.Withdrawn{Inv: inv})
+	}
+}
+
 // ended lets a job go when its client has its answer and no forward is out.
 func (s *service) ended(event dispatch.Event) {
 	inv, _ := event.About()
@@ -185,7 +238,7 @@
 	last := s.loop.Now() + min(max(s.site.LongestTimeout, acceptAfter), leaveMost)
 	s.door.Leave(last)
 	s.loop.After(acceptAfter, s.leave)
-	s.loop.After(last-s.loop.Now(), s.door.FailAll)
+	s.loop.After(last-s.loop.Now(), s.failRest)
 	s.loop.After(last+leaveMargin-s.loop.Now(), s.loop.Stop)
 }
 
@@ -205,7 +258,7 @@
 	}
 	text, err := json.Marshal(map[string]any{
 		"clients": s.door.Counts, "workers": s.fleet.Counts, "watches": s.list.Calls, "in_hand": s.door.InHand(),
-		"out": s.fleet.Out(), "sockets": s.loop.Sockets(), "served_us": spread(s.waits),
+		"out": s.fleet.Out(), "panics": s.panics, "sockets": s.loop.Sockets(), "served_us": spread(s.waits),
 		"decided_us": spread(s.thinks),
 	})
 	if err != nil {
--- a/cmd/stoatweir/service_test.go
+++ b/cmd/stoatweir/service_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"stoatweir/dispatch"
 	"stoatweir/internal/settings"
 )
 
@@ -78,6 +79,10 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", path, head, len(body), body)
 }
 
+type breaks struct{ *service }
+
+func (b breaks) Take() { b.core, b.events = nil, append(b.events, dispatch.Due{}) }
+
 // The whole way: known list, watch, an invocation to a worker, its news, the answer; then the order to stop, with one
 // invocation in hand that no worker ends: it is answered all the same, and the service ends by itself.
 func TestServeAndStop(t *testing.T) {
@@ -122,11 +127,23 @@
 	if got := exchange(node, post("/render", head("1"), "end")); got != "HTTP/1.1 200 OK made" {
 		t.Error("served:", got)
 	}
+	// A module that panics costs what it had in hand, not the service.
 	answer := make(chan string)
-	go func() { answer <- exchange(node, post("/render", head("2"), "never")) }()
-	for !strings.Contains(exchange(node, "GET /-/counts HTTP/1.1\r\n\r\n"), `"TakenIn":2`) {
-		time.Sleep(time.Millisecond)
+	hold := func(id, counted string) {
+		go func() { answer <- exchange(node, post("/render", head(id), "never")) }()
+		for !strings.Contains(exchange(node, "GET /-/counts HTTP/1.1\r\n\r\n"), counted) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	hold("b", `"TakenIn":2`)
+	s.loop.Put(breaks{s})
+	if got := <-answer; got != "HTTP/1.1 500 Internal Server Error " {
+		t.Error("in hand of a broken module:", got)
+	}
+	if got := exchange(node, post("/render", head("1"), "end")); got != "HTTP/1.1 200 OK made" {
+		t.Error("served after a panic:", got)
 	}
+	hold("2", `"TakenIn":4`)
 	s.loop.Put(stop{s})
 	if got := exchange(node, "GET /-/ready HTTP/1.1\r\n\r\n"); got != "HTTP/1.1 503 Service Unavailable " {
 		t.Error("ready while it leaves:", got)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -189,13 +189,8 @@
 	}
 }
 
-// FailAll answers whatever is still owed.
-func (d *Door) FailAll() {
-	for _, inv := range slices.Sorted(maps.Keys(d.inHand)) {
-		d.Fail(inv)
-		d.Event(dispatch.Withdrawn{Inv: inv})
-	}
-}
+// Rest lists the invocations that are owed an answer, oldest first.
+func (d *Door) Rest() []dispatch.InvID { return slices.Sorted(maps.Keys(d.inHand)) }
 
 // Unsent tells whether answers are still on their way out.
 func (d *Door) Unsent() bool {
@@ -353,7 +348,7 @@
 	case !known:
 		v.refuse(404)
 		return
-	case class != first || id == "" || err != nil || !(budget > 0 && budget < maxTimes) || !well,
+	case class != first || !http1.Token(id) || err != nil || !(budget > 0 && budget < maxTimes) || !well,
 		d.site.Deployment.Operations[operation].Effect == dispatch.Deduplicated &&
 			m.Header.Get("Idempotency-Key") == "":
 		v.refuse(400)
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -132,7 +132,7 @@
 	closing := strings.Replace(job, "X-Caller: oak", "Connection: close", 1)
 	for _, change := range [][2]string{
 		{"/render/", "/unheard/"}, {"Class: render", "Class: unheard"}, {"Class: render", "Class: sale"},
-		{"X-Call-Id: 9b1f\r\n", ""}, {"X-Budget: 2.500\r\n", ""}, {"2.500", "soon"}, {"2.500", "-1"}, {"2.500", "NaN"},
+		{"X-Call-Id: 9b1f\r\n", ""}, {"9b1f", "9b/../1 f"}, {"X-Budget: 2.500\r\n", ""}, {"2.500", "soon"}, {"2.500", "-1"}, {"2.500", "NaN"},
 		{"250000", "lots"}, {"slots=2", "slots=-2"}, {"POST", "PUT"}, {"Content-Length", "Content-Length: 4\r\nContent-Length"},
 		{"POST /render/7f3a", "POST /_jobs/news"}, {" HTTP/1.1", ""},
 		{"/render/7f3a?x=1 HTTP/1.1\r\nHost: backend\r\nX-Call-Id: 9b1f\r\nX-Call-Class: render", "/sale/1 HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: sale"},
@@ -151,12 +151,13 @@
 	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// "405 Method Not Allowed\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	// 0 15
+	// 0 16
 }
 
 // News is answered whatever it is about, and read in whole.
@@ -237,7 +238,7 @@
 	fmt.Printf("%q\n", b)
 	idle.Close()
 	ask(l, addr, "GET /-/ready HTTP/1.1\r\n\r\n")
-	l.After(50*time.Millisecond, d.FailAll)
+	l.After(50*time.Millisecond, func() { d.Fail(d.Rest()[0]) })
 	ask(l, addr, job)
 	// Output:
 	// "200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -245,6 +246,5 @@
 	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// job 9b1f POST /render/7f3a?x=1 backend [{X-Call-Class render} {X-Call-Cost 250000} {X-Call-Id 9b1f} {X-Call-Info slots=2,x=1} {X-Caller oak}] body
 	// inv 1: operation 0 tenant 1 slots 2 hint 0.25 budget 200ms
-	// dispatch.Withdrawn{Inv:1}
 	// "500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 }
--- a/internal/conn/loop.go
+++ b/internal/conn/loop.go
@@ -20,7 +20,9 @@
 
 	sockets, limit int     // descriptors of connections: in use, and at most
 	idle           []*Conn // oldest first
-	Freed          func()  // a descriptor is free again; set once, may be nil
+
+	Freed    func()          // a descriptor is free again; may be nil
+	Panicked func(cause any) // what was being done is dropped and the loop goes on; nil: it ends the program
 }
 
 // NewLoop starts the clock. limit is how many connections may have a descriptor at once.
@@ -60,15 +62,27 @@
 		l.now = time.Since(l.start)
 		for len(l.alarms) > 0 && l.alarms[0].at <= l.now {
 			a := heap.Pop(&l.alarms).(*Alarm)
-			a.ring()
+			l.guard(a.ring)
 		}
-		each()
+		l.guard(each)
 	}
 }
 
 func (l *Loop) take(n Note) {
 	l.now = time.Since(l.start)
-	n.Take()
+	l.guard(n.Take)
+}
+
+// guard keeps a mistake in the handling of one message from costing all others their answers.
+func (l *Loop) guard(do func()) {
+	if l.Panicked != nil {
+		defer func() {
+			if cause := recover(); cause != nil {
+				l.Panicked(cause)
+			}
+		}()
+	}
+	do()
 }
 
 // Alarm calls back at a time unless it is stopped before.
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -181,7 +181,7 @@
 		return bad(400, "malformed header")
 	}
 	for name := range header {
-		if !token(name) { // a length under a name with a blank behind it would be seen by one side alone
+		if !Token(name) { // a length under a name with a blank behind it would be seen by one side alone
 			return bad(400, "malformed header")
 		}
 	}
@@ -196,7 +196,7 @@
 		}
 	} else {
 		words := strings.Split(first, " ")
-		if len(words) != 3 || !token(words[0]) || !strings.HasPrefix(words[1], "/") {
+		if len(words) != 3 || !Token(words[0]) || !strings.HasPrefix(words[1], "/") {
 			return bad(400, "malformed request line")
 		}
 		m.Method, m.Target, version = words[0], words[1], words[2]
@@ -215,7 +215,8 @@
 	return p.frame(m)
 }
 
-func token(s string) bool {
+// Token tells whether a text may stand as one word in a head: no blank, no separator, nothing that ends a line.
+func Token(s string) bool {
 	for _, c := range s {
 		if !('A' <= c && c <= 'Z' || 'a' <= c && c <= 'z' || '0' <= c && c <= '9' ||
 			strings.ContainsRune("!#$%&'*+-.^_`|~", c)) {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -3,6 +3,7 @@
 package workers
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -70,11 +71,9 @@
 
 type worker struct {
 	uid, endpoint string
-	id            dispatch.WorkerID
-	standing      dispatch.Standing
-	startedAt     time.Duration
-	reports       bool    // it has said something of its load since its start
-	idle          []*line // used last is last
+	entry         dispatch.Entry // as the list last had it
+	reports       bool           // it has said something of its load since its start
+	idle          []*line        // used last is last
 }
 
 type forward struct {
@@ -99,16 +98,15 @@
 	for _, e := range list.Workers {
 		w := f.byUID[e.UID]
 		if w == nil {
-			w = &worker{uid: e.UID, id: e.Worker, endpoint: e.Endpoint}
+			w = &worker{uid: e.UID, endpoint: e.Endpoint}
 			f.byUID[e.UID], f.workers[e.Worker] = w, w
 		}
 		if named[e.UID] = true; e.Endpoint != w.endpoint && e.Standing != dispatch.Gone {
 			w.endpoint = e.Endpoint
 			w.shutIdle()
 		}
-		if e.StartedAt != w.startedAt {
-			w.startedAt, w.reports = e.StartedAt, false
-		}
+		w.reports = w.reports && e.StartedAt == w.entry.StartedAt
+		w.entry = e.Entry
 		w.stand(e.Standing)
 	}
 	if list.Form == dispatch.ListWhole {
@@ -121,7 +119,7 @@
 }
 
 func (w *worker) stand(s dispatch.Standing) {
-	if w.standing = s; s == dispatch.Gone {
+	if w.entry.Standing = s; s == dispatch.Gone {
 		w.shutIdle()
 	}
 }
@@ -141,7 +139,7 @@
 	o.line = f.ask(w, &ask{
 		request: func() []byte {
 			// The connection may have taken its time to come up: nothing is sent to a worker that drains by now.
-			if w.standing != dispatch.Ready {
+			if w.entry.Standing != dispatch.Ready {
 				return nil
 			}
 			left := max(0, job.GivenUp-f.loop.Now()).Seconds()
@@ -218,7 +216,7 @@
 		f.cancel(o)
 	}
 	f.Counts.Ended[e.String()]++
-	f.Event(dispatch.Outcome{Inv: o.job.Inv, Worker: o.worker.id, Forward: o.number, Result: e.Result(), Load: load,
+	f.Event(dispatch.Outcome{Inv: o.job.Inv, Worker: o.worker.entry.Worker, Forward: o.number, Result: e.Result(), Load: load,
 		Closed: !f.Owed(o.job.Inv)})
 }
 
@@ -282,7 +280,7 @@
 		return
 	}
 	n.Load = o.worker.said(n.Load, f.site.Report.Blank())
-	sign := dispatch.Sign{Inv: o.job.Inv, Worker: o.worker.id, Forward: o.number, Done: n.Share}
+	sign := dispatch.Sign{Inv: o.job.Inv, Worker: o.worker.entry.Worker, Forward: o.number, Done: n.Share}
 	switch n.State {
 	case "started":
 		sign.Started = true
@@ -307,5 +305,16 @@
 	}
 }
 
+// Listing is the whole list as it stands, in one order for any run.
+func (f *Fleet) Listing() dispatch.Listing {
+	list := dispatch.Listing{Form: dispatch.ListWhole}
+	for _, uid := range slices.Sorted(maps.Keys(f.byUID)) {
+		if w := f.byUID[uid]; w.entry.Standing != dispatch.Gone {
+			list.Entries = append(list.Entries, w.entry)
+		}
+	}
+	return list
+}
+
 // Out counts the forwards that are under way.
 func (f *Fleet) Out() int { return len(f.byNumber) }
