--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -243,7 +243,7 @@
 }
 
 func (s *service) leave() {
-	if s.door.InHand() == 0 && !s.door.Unsent() {
+	if s.door.InHand() == 0 && !s.door.Busy() {
 		s.loop.Stop()
 		return
 	}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -192,10 +192,10 @@
 // Rest lists the invocations that are owed an answer, oldest first.
 func (d *Door) Rest() []dispatch.InvID { return slices.Sorted(maps.Keys(d.inHand)) }
 
-// Unsent tells whether answers are still on their way out.
-func (d *Door) Unsent() bool {
+// Busy tells whether requests are still on their way in, or answers on their way out.
+func (d *Door) Busy() bool {
 	for v := range d.visits {
-		if v.c.Unsent() > 0 {
+		if v.c.Unsent() > 0 || v.parser.Started() {
 			return true
 		}
 	}
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -231,7 +231,7 @@
 		panic(err)
 	}
 	idle.Write([]byte("GET /-/counts HTTP/1.1\r\n\r\n"))
-	until(l, "the idle one", func() bool { return d.Counts.Connections == 2 && len(d.visits) == 1 && !d.Unsent() && l.Sockets() == 1 })
+	until(l, "the idle one", func() bool { return d.Counts.Connections == 2 && len(d.visits) == 1 && !d.Busy() && l.Sockets() == 1 })
 	l.After(20*time.Millisecond, func() { d.Leave(l.Now() + 200*time.Millisecond) })
 	until(l, "the idle one's end", func() bool { return d.leavesAt > 0 && len(d.visits) == 0 })
 	b, _ := io.ReadAll(idle)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -97,8 +97,8 @@
 	All     bool
 	Targets []struct {
 		UID, Endpoint, AZ, Model, State string
-		PodGroup                        int   `json:"pod_group"`
-		BootMS                          int64 `json:"boot_ms"`
+		PodGroup                        int     `json:"pod_group"`
+		BootMS                          float64 `json:"boot_ms"`
 	}
 }
 
@@ -133,7 +133,7 @@
 			Cell: t.PodGroup, Standing: standing}
 		if t.BootMS != 0 {
 			e.Restarted = true
-			e.StartedAt = time.UnixMilli(t.BootMS).Sub(w.start)
+			e.StartedAt = time.UnixMilli(int64(t.BootMS)).Sub(w.start)
 		}
 		list.Workers = append(list.Workers, Worker{t.UID, t.Endpoint, e})
 	}
@@ -218,7 +218,9 @@
 			w.fail(err)
 			return
 		}
-		c.In.Drop(n)
+		if c == w.c { // whoever was told may have begun another watch
+			c.In.Drop(n)
+		}
 	}
 }
 
