Keep room for news when half requests fill the descriptors; wait for overtaken writes

Seen in new tests: connections with half a request were never closed for want of descriptors, so a thousand of them would have kept workers' news out for 10 s; a fresh connection was the first to go. Now idle ones go first, then the oldest without a whole request. Under the race detector an answer could be read before the writer's word that the request had gone out; the connection was then not used for the next request. The answer now waits for that word, 50 ms at most. SIGHUP and SIGPIPE no longer end the service; at a restart it waits for its address to be free.

--- a/cmd/stoatweir/main.go
+++ b/cmd/stoatweir/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -10,12 +11,24 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"stoatweir/internal/settings"
 )
 
+// listen waits for the address: after a restart the process before may still be on its way out.
+func listen(addr string) (l net.Listener, err error) {
+	for range 100 {
+		if l, err = net.Listen("tcp", addr); !errors.Is(err, syscall.EADDRINUSE) {
+			return l, err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return l, err
+}
+
 func main() {
 	log := logrus.New()
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
@@ -27,10 +40,12 @@
 	runtime.GOMAXPROCS(1) // one core is ours; more threads would only take turns on it
 	debug.SetMemoryLimit(int64(node.MemoryMB) << 20 * 6 / 10)
 	s := newService(node, log.WithField("node", node.Name))
-	listener, err := net.Listen("tcp", node.Listen)
+	listener, err := listen(node.Listen)
 	if err != nil {
 		log.WithError(err).Fatal("can't listen")
 	}
+	// Whoever reads our log, or started us from a terminal, may go away: that is no reason to end.
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	go func() {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -118,7 +118,7 @@
 	v := &visit{door: d}
 	d.visits[v] = struct{}{}
 	v.c = d.loop.Adopt(a.net, v)
-	v.c.Idle(true)
+	v.c.Set(conn.Begun) // its first request is on the way: older ones without a whole one go before it
 	d.accept()
 }
 
@@ -218,7 +218,7 @@
 // Sent makes the connection one that may be closed for want of descriptors.
 func (v *visit) Sent(c *conn.Conn) {
 	if v.inv == 0 && !v.parser.Started() {
-		c.Idle(true)
+		c.Set(conn.Idle)
 	}
 }
 
@@ -243,7 +243,7 @@
 // Read takes a request in. One at a time: what follows before the answer stays in the ring, and the connection ends
 // with that answer, as clients wait for answers and a front that does not could mix them up.
 func (v *visit) Read(c *conn.Conn) {
-	c.Idle(false)
+	c.Set(conn.Busy)
 	for c.In.Len() > 0 && v.inv == 0 && !v.last {
 		n, step, err := v.parser.Feed(c.In.Bytes())
 		c.In.Drop(n)
@@ -265,7 +265,11 @@
 	if v.inv != 0 && c.In.Len() > 0 {
 		v.last = true
 	}
-	if v.parser.Started() && v.slow == nil {
+	if !v.parser.Started() || v.last {
+		return
+	}
+	c.Set(conn.Begun)
+	if v.slow == nil {
 		v.slow = v.door.loop.After(readIn, func() { v.malformed(408) })
 	}
 }
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -220,6 +220,25 @@
 	// {Connections:6 TakenIn:4 Succeeded:0 Throttled:0 Errored:1 Left:1 Overdue:1 Malformed:1 Crowded:1}
 }
 
+// Half requests on more connections than there are descriptors for don't keep others out.
+func Example_crowd() {
+	l, d, addr, shut := open(10)
+	defer shut()
+	for range 60 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		c.Write([]byte("POST /render HTTP/1.1\r\nX-Call-Id: "))
+	}
+	ask(l, addr, "GET /-/ready HTTP/1.1\r\nConnection: close\r\n\r\n")
+	fmt.Println(d.Counts.Connections, l.Sockets() <= 40-spare)
+	// Output:
+	// "200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// 61 true
+}
+
 // While it leaves, the door is not ready, takes what still comes, ends each connection with its answer, and shuts
 // idle ones.
 func Example_leave() {
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -14,7 +14,7 @@
 
 // writeWithin is how long a peer may take nothing of what is written to it. A slow reader that takes a little now and
 // then gets all of it: cutting an answer short would lose the invocation.
-const writeWithin = 20 * time.Second
+var writeWithin = 20 * time.Second
 
 // lingers is how long a closed connection may still take in what its peer sends, as closing with unread bytes would
 // reset it and could cost the peer the answer.
@@ -43,7 +43,7 @@
 	reading, writing bool // a run of bytes is with the goroutine
 	up, ended, quits bool
 	ending           Ending
-	evictable        bool
+	use              Use
 }
 
 type note struct {
@@ -230,7 +230,7 @@
 	if tcp, is := c.net.(*net.TCPConn); is {
 		tcp.CloseWrite()
 	}
-	c.Idle(true) // nothing is owed on it any more
+	c.Set(Idle) // nothing is owed on it any more
 	c.loop.After(lingers, func() { c.Close() })
 }
 
@@ -279,40 +279,47 @@
 	}
 }
 
-// Idle says whether the connection may be closed for want of descriptors: nothing is under way on it.
-func (c *Conn) Idle(is bool) {
-	if c.evictable == is {
+// Use tells what would be lost if a connection were closed for want of descriptors.
+type Use uint8
+
+const (
+	Busy  Use = iota // an invocation, or an answer
+	Begun            // a request that is not whole yet, and so is not taken
+	Idle             // nothing
+)
+
+// Set says what the connection is in use for; it is Busy to begin with.
+func (c *Conn) Set(u Use) {
+	if c.use == u {
 		return
 	}
-	if c.evictable = is; is {
-		c.loop.idle = append(c.loop.idle, c)
-		return
+	if at := slices.Index(c.loop.spare[c.use], c); at >= 0 {
+		c.loop.spare[c.use] = slices.Delete(c.loop.spare[c.use], at, at+1)
 	}
-	for i, other := range c.loop.idle {
-		if other == c {
-			c.loop.idle = append(c.loop.idle[:i], c.loop.idle[i+1:]...)
-			return
-		}
+	if c.use = u; u != Busy {
+		c.loop.spare[u] = append(c.loop.spare[u], c)
 	}
 }
 
 func (c *Conn) release() {
-	c.Idle(false)
+	c.Set(Busy)
 	c.loop.sockets--
 	if c.loop.Freed != nil {
 		c.loop.Freed()
 	}
 }
 
-// Spare tells whether one more descriptor can be had with at least keep left. To make room, the connection that has
-// been idle longest ends, and its owner hears so as if the peer had closed it.
+// Spare tells whether one more descriptor can be had with at least keep left. To make room, connections that are of
+// least use end, the oldest first: half requests could hold all descriptors, and workers' news would not get in. Their
+// owners hear so as if the peer had closed them.
 func (l *Loop) Spare(keep int) bool {
-	for l.sockets+keep >= l.limit && len(l.idle) > 0 {
-		c := l.idle[0]
-		owner := c.owner
-		c.Idle(false)
-		if c.Close(); owner != nil {
-			owner.Down(c, Closed)
+	for _, u := range []Use{Idle, Begun} {
+		for l.sockets+keep >= l.limit && len(l.spare[u]) > 0 {
+			c := l.spare[u][0]
+			owner := c.owner
+			if c.Close(); owner != nil {
+				owner.Down(c, Closed)
+			}
 		}
 	}
 	return l.sockets+keep < l.limit
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -33,7 +33,7 @@
 		o.read(c)
 	}
 }
-func (o *owner) Sent(*Conn)             { o.seen = append(o.seen, "sent") }
+func (o *owner) Sent(*Conn)             {}
 func (o *owner) Down(_ *Conn, e Ending) { o.seen = append(o.seen, e.String()) }
 
 // await runs the loop until what is waited for has happened.
@@ -97,7 +97,7 @@
 		o := &owner{up: func(c *Conn) { c.Write(make([]byte, size)) }}
 		l.Dial(addr, within, o)
 		await(l, title, func() bool {
-			return len(o.seen) > 0 && o.seen[len(o.seen)-1] != "up" && o.seen[len(o.seen)-1] != "sent"
+			return len(o.seen) > 0 && o.seen[len(o.seen)-1] != "up"
 		})
 		fmt.Println(title+":", o.seen, "in use:", l.Sockets())
 	}
@@ -114,7 +114,7 @@
 	end("reset with most of the request unread", addr, time.Second, 64<<20)
 	shut()
 	// Output:
-	// closed after the whole request: [up sent closed] in use: 0
+	// closed after the whole request: [up closed] in use: 0
 	// no time to come up: [never up] in use: 0
 	// nobody listens: [refused] in use: 0
 	// reset with most of the request unread: [up cut short] in use: 0
@@ -151,6 +151,42 @@
 	}
 }
 
+// A peer that takes a little now and then gets all of it, however long that lasts; one that takes nothing is let go,
+// and the request on it has provably not gone out.
+func TestSlowReader(t *testing.T) {
+	defer func(before time.Duration) { writeWithin = before }(writeWithin)
+	writeWithin = 10 * time.Millisecond
+	l := NewLoop(time.Now(), 10)
+	near, far := net.Pipe()
+	want := bytes.Repeat([]byte("answer"), 1000)
+	l.Adopt(near, &owner{}).Write(want)
+	got := make(chan []byte, 1)
+	go func() {
+		var all []byte
+		for b := make([]byte, 100); len(all) < len(want); time.Sleep(time.Millisecond) {
+			n, err := far.Read(b)
+			if all = append(all, b[:n]...); err != nil {
+				break
+			}
+		}
+		got <- all
+	}()
+	await(l, "the answer", func() bool {
+		l.After(time.Millisecond, func() {})
+		return len(got) == 1
+	})
+	if all := <-got; !bytes.Equal(all, want) {
+		t.Errorf("%d bytes of %d came", len(all), len(want))
+	}
+	near, _ = net.Pipe()
+	o := &owner{}
+	l.Adopt(near, o).Write(want)
+	await(l, "the end", func() bool { return len(o.seen) > 0 })
+	if o.seen[0] != CutShort.String() {
+		t.Errorf("one that takes nothing: %v", o.seen)
+	}
+}
+
 // An aborted connection attempt sends nothing and tells nothing.
 func TestCloseWhileComingUp(t *testing.T) {
 	l := NewLoop(time.Now(), 10)
@@ -164,7 +200,7 @@
 	}
 }
 
-// For want of descriptors the connection that is idle longest goes, never one that is in use.
+// For want of descriptors idle connections go, then those with half a request, never one that is in use.
 func Example_spare() {
 	l := NewLoop(time.Now(), 4)
 	addr, shut := peer(func(c net.Conn) { io.Copy(io.Discard, c) })
@@ -173,13 +209,15 @@
 	for i, o := range owners {
 		c := l.Dial(addr, time.Second, o)
 		await(l, "the connection", func() bool { return len(o.seen) > 0 })
-		c.Idle(i != 1)
+		c.Set([]Use{Begun, Busy, Idle}[i])
 	}
 	fmt.Println(l.Spare(0), l.Sockets())
+	fmt.Println(l.Spare(1), l.Sockets(), owners[0].seen, owners[1].seen, owners[2].seen)
 	fmt.Println(l.Spare(2), l.Sockets(), owners[0].seen, owners[1].seen, owners[2].seen)
 	fmt.Println(l.Spare(3), l.Sockets())
 	// Output:
 	// true 3
+	// true 2 [up] [up] [up closed]
 	// true 1 [up closed] [up] [up closed]
 	// false 1
 }
--- a/internal/conn/loop.go
+++ b/internal/conn/loop.go
@@ -18,8 +18,8 @@
 	rank   int
 	ended  bool
 
-	sockets, limit int     // descriptors of connections: in use, and at most
-	idle           []*Conn // oldest first
+	sockets, limit int               // descriptors of connections: in use, and at most
+	spare          [Idle + 1][]*Conn // by use, oldest first
 
 	Freed    func()          // a descriptor is free again; may be nil
 	Panicked func(cause any) // what was being done is dropped and the loop goes on; nil: it ends the program
--- a/internal/workers/line.go
+++ b/internal/workers/line.go
@@ -18,8 +18,9 @@
 	worker *worker
 	c      *conn.Conn
 	parser http1.Parser
-	ask    *ask        // nil: idle
-	expiry *conn.Alarm // of an idle one
+	ask    *ask           // nil: idle
+	early  *http1.Message // its answer, which came before all of the request had gone out
+	expiry *conn.Alarm    // of an idle one, or of waiting for that
 }
 
 // ask sends on the connection used last, as it is the least likely to have been closed by the worker, or opens one.
@@ -29,7 +30,7 @@
 		l := w.idle[n-1]
 		w.idle = w.idle[:n-1]
 		l.expiry.Stop()
-		l.c.Idle(false)
+		l.c.Set(conn.Busy)
 		if l.ask = a; !l.send() {
 			return nil
 		}
@@ -68,14 +69,16 @@
 	if l.ask != nil {
 		l.ask.limit.Stop()
 	}
-	l.ask = nil
+	l.ask, l.early = nil, nil
+	l.expiry.Stop()
 	l.c.Close()
 }
 
 func (l *line) park() {
+	l.expiry.Stop()
 	w := l.worker
 	w.idle = append(w.idle, l)
-	l.c.Idle(true)
+	l.c.Set(conn.Idle)
 	l.expiry = l.fleet.loop.After(l.fleet.site.ConnIdle*6/10, func() {
 		w.forget(l)
 		l.c.Close()
@@ -103,19 +106,30 @@
 // Up sends what the connection was opened for.
 func (l *line) Up(*conn.Conn) { l.send() }
 
-// Sent makes a connection whose answer came first one to keep.
+// Sent lets an answer that came first take effect.
 func (l *line) Sent(*conn.Conn) {
-	if l.ask == nil {
-		l.expiry.Stop()
+	if l.early != nil {
 		l.park()
+		l.finishEarly()
 	}
 }
 
+func (l *line) finishEarly() {
+	m := l.early
+	l.early = nil
+	l.finish(m, conn.Open)
+}
+
 // Read takes an answer in.
 func (l *line) Read(c *conn.Conn) {
 	for c.In.Len() > 0 {
 		n, step, err := l.parser.Feed(c.In.Bytes())
 		c.In.Drop(n)
+		if l.early != nil {
+			l.finishEarly()
+			c.Close()
+			return
+		}
 		if l.ask == nil || err != nil {
 			// An answer to nothing, or one that can't be read: what comes next could be taken for the answer to
 			// something else.
@@ -130,10 +144,9 @@
 			l.finish(m, conn.Open)
 			c.Close()
 		case c.Unsent() > 0:
-			// The answer may overtake the word that the request has gone out, or the worker gives it without
-			// reading on: the connection is of use again only once all is written.
-			l.expiry = l.fleet.loop.After(afterNews, c.Close)
-			l.finish(m, conn.Open)
+			// The answer has overtaken the word that the request has gone out, which is waited for before the
+			// connection is used again; or the worker has answered without reading on.
+			l.early, l.expiry = m, l.fleet.loop.After(earlyMost, func() { l.finishEarly(); c.Close() })
 		default:
 			l.park()
 			l.finish(m, conn.Open)
@@ -157,6 +170,11 @@
 
 // Down ends what was asked. An answer without a length ends with its connection.
 func (l *line) Down(_ *conn.Conn, e conn.Ending) {
+	if l.early != nil {
+		l.expiry.Stop()
+		l.finishEarly()
+		return
+	}
 	if l.ask != nil && e == conn.Closed && l.parser.End() {
 		l.finish(l.parser.Message, conn.Open)
 		return
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -20,6 +20,7 @@
 	cancelWithin = time.Second
 	idlePart     = 0.6 // of the workers' idle time: a request must not cross the worker's closing
 	afterNews    = time.Second
+	earlyMost    = 50 * time.Millisecond // that an answer waits for the word that its request has gone out
 )
 
 // Job is an invocation as it goes to a worker.
