--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -179,7 +179,8 @@
 }
 
 // Leave begins the end: readiness is withdrawn, idle connections close and every answer closes its own. What comes
-// meanwhile is still served, but not beyond the time given.
+// until the time given is still taken. Its budget stays what the client said: a shorter one would look like that of a
+// client that has waited for long, and be refused at once.
 func (d *Door) Leave(by time.Duration) {
 	d.leavesAt = by
 	for v := range d.visits {
@@ -360,16 +361,13 @@
 	case d.ids[id]:
 		v.refuse(409) // the one in hand has its own answer coming
 		return
-	case len(d.inHand) >= d.most:
+	case len(d.inHand) >= d.most, d.leavesAt > 0 && d.loop.Now() >= d.leavesAt:
 		d.Counts.Crowded++
 		v.answer(503, nil)
 		return
 	}
 	now := d.loop.Now()
 	givenUp := now + settings.Span(budget) - early // a request's time counts from its last byte
-	if d.leavesAt > 0 {
-		givenUp = min(givenUp, d.leavesAt)
-	}
 	d.last++
 	d.Counts.TakenIn++
 	v.inv = d.last
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -259,11 +259,15 @@
 	ask(l, addr, "GET /-/ready HTTP/1.1\r\n\r\n")
 	l.After(50*time.Millisecond, func() { d.Fail(d.Rest()[0]) })
 	ask(l, addr, job)
+	l.After(200*time.Millisecond, l.Stop)
+	l.Run(func() {})
+	ask(l, addr, job)
 	// Output:
 	// "200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
 	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// job 9b1f POST /render/7f3a?x=1 backend [{X-Call-Class render} {X-Call-Cost 250000} {X-Call-Id 9b1f} {X-Call-Info slots=2,x=1} {X-Caller oak}] body
-	// inv 1: operation 0 tenant 1 slots 2 hint 0.25 budget 200ms
+	// inv 1: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
 	// "500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 }
