--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -24,6 +24,7 @@
 	listWithin  = time.Second            // a start waits so long for the list before it trusts the known one
 	acceptAfter = 800 * time.Millisecond // connections go on coming after the order to stop
 	leaveMost   = 3 * time.Second
+	againAfter  = 20 * time.Millisecond
 	leaveMargin = 400 * time.Millisecond // between the longest wait of a client and our end: no kill comes before
 )
 
@@ -38,7 +39,7 @@
 	site   settings.Site
 	known  []byte
 	events []dispatch.Event
-	jobs   map[dispatch.InvID]*job
+	invs   map[dispatch.InvID]*tracked
 	wake   *conn.Alarm
 	last   time.Duration // when the module was last asked
 
@@ -48,9 +49,9 @@
 	waits, thinks  *hdrhistogram.Histogram
 }
 
-// job is an invocation while the module may still speak of it.
-type job struct {
-	*workers.Job
+// tracked is an invocation while the module may still speak of it.
+type tracked struct {
+	*workers.Invocation
 	forwards, out int
 }
 
@@ -58,7 +59,7 @@
 	start := time.Now()
 	sockets := node.Sockets - otherFiles
 	loop := conn.NewLoop(start, sockets)
-	s := &service{loop: loop, log: log, site: node.Site, known: node.Known, jobs: map[dispatch.InvID]*job{},
+	s := &service{loop: loop, log: log, site: node.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
 		core: dispatch.New(node.Site.Deployment, node.Seed), seed: node.Seed, last: -1,
 		door:  clients.New(loop, node.Site, sockets*6/10),
 		fleet: workers.NewFleet(loop, node.Site, sockets/8),
@@ -66,7 +67,7 @@
 		waits: hdrhistogram.New(1, time.Minute.Microseconds(), 3), thinks: hdrhistogram.New(1, 1e7, 2)}
 	event := func(e dispatch.Event) { s.events = append(s.events, e) }
 	s.door.Event, s.fleet.Event = event, event
-	s.door.Took = func(j *workers.Job) { s.jobs[j.Inv] = &job{Job: j} }
+	s.door.Took = func(j *workers.Invocation) { s.invs[j.Inv] = &tracked{Invocation: j} }
 	s.door.News, s.door.Report = s.fleet.Take, s.report
 	s.door.Served = func(t time.Duration) { s.waits.RecordValue(t.Microseconds()) }
 	s.door.Ready = func() bool { return s.heard }
@@ -120,7 +121,7 @@
 		actions, sound := s.ask(now, events)
 		if !sound {
 			s.restart()
-			continue
+			return
 		}
 		s.thinks.RecordValue(time.Since(began).Microseconds())
 		for _, event := range events {
@@ -152,22 +153,23 @@
 func (s *service) restart() {
 	s.log.Error("the decisions start anew; in hand: ", s.door.InHand())
 	s.failRest()
-	for _, inv := range slices.Sorted(maps.Keys(s.jobs)) {
-		for fwd := range s.jobs[inv].forwards {
+	for _, inv := range slices.Sorted(maps.Keys(s.invs)) {
+		for fwd := range s.invs[inv].forwards {
 			s.fleet.Cancel(inv, fwd)
 		}
 	}
-	s.jobs = map[dispatch.InvID]*job{}
+	s.invs = map[dispatch.InvID]*tracked{}
 	s.seed++
 	s.core = dispatch.New(s.site.Deployment, s.seed)
 	s.events = []dispatch.Event{s.fleet.Listing()}
-	s.list.Watch() // the new one takes its first list for a sign that the watch stands
+	s.list.Watch()                      // the new one takes its first list for a sign that the watch stands
+	s.loop.After(againAfter, func() {}) // not at once: whatever made it panic may still be so
 }
 
 // failRest answers all that is owed. Where nothing was ever sent, asking again is harmless whatever the operation.
 func (s *service) failRest() {
 	for _, inv := range s.door.Rest() {
-		if j := s.jobs[inv]; j != nil && j.forwards == 0 {
+		if j := s.invs[inv]; j != nil && j.forwards == 0 {
 			s.door.Throttle(inv, 0)
 		} else {
 			s.door.Fail(inv)
@@ -176,15 +178,15 @@
 	}
 }
 
-// ended lets a job go when its client has its answer and no forward is out.
+// ended lets an invocation go when its client has its answer and no forward is out.
 func (s *service) ended(event dispatch.Event) {
 	inv, _ := event.About()
-	if j := s.jobs[inv]; j != nil {
+	if j := s.invs[inv]; j != nil {
 		if _, is := event.(dispatch.Outcome); is {
 			j.out--
 		}
 		if j.out <= 0 && !s.door.Owed(inv) {
-			delete(s.jobs, inv)
+			delete(s.invs, inv)
 		}
 	}
 }
@@ -192,10 +194,10 @@
 func (s *service) carryOut(action dispatch.Action) {
 	switch a := action.(type) {
 	case dispatch.Forward:
-		if j := s.jobs[a.Inv]; j != nil {
+		if j := s.invs[a.Inv]; j != nil {
 			j.forwards++
 			j.out++
-			s.fleet.Forward(j.Job, j.forwards-1, a.Worker)
+			s.fleet.Forward(j.Invocation, j.forwards-1, a.Worker)
 		}
 	case dispatch.Throttled:
 		s.door.Throttle(a.Inv, a.After)
@@ -218,8 +220,8 @@
 }
 
 func (s *service) answered(inv dispatch.InvID) {
-	if j := s.jobs[inv]; j != nil && j.out <= 0 {
-		delete(s.jobs, inv)
+	if j := s.invs[inv]; j != nil && j.out <= 0 {
+		delete(s.invs, inv)
 	}
 }
 
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -38,9 +38,9 @@
 // Door is where clients and workers' news come in.
 type Door struct {
 	Event  func(dispatch.Event)
-	Took   func(*workers.Job)  // an invocation has come; the event follows
-	News   func(workers.News)  // of a worker
-	Served func(time.Duration) // how long a client waited for its worker's result
+	Took   func(*workers.Invocation) // an invocation has come; the event follows
+	News   func(workers.News)        // of a worker
+	Served func(time.Duration)       // how long a client waited for its worker's result
 	Ready  func() bool
 	Report func() []byte // the counters, for people
 	Counts Counts
@@ -306,7 +306,7 @@
 	case m.Method != "POST":
 		v.refuse(405)
 	default:
-		v.job(m, path)
+		v.invocation(m, path)
 	}
 }
 
@@ -338,14 +338,14 @@
 var hopByHop = map[string]bool{"Connection": true, "Content-Length": true, "Transfer-Encoding": true, "Host": true,
 	"X-Budget": true, "Keep-Alive": true, "Expect": true, "Te": true, "Trailer": true, "Upgrade": true}
 
-func (v *visit) job(m *http1.Message, path string) {
+func (v *visit) invocation(m *http1.Message, path string) {
 	d := v.door
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	class := m.Header.Get("X-Call-Class")
-	if class == "" {
-		class = first
+	name := m.Header.Get("X-Call-Class")
+	if name == "" {
+		name = first
 	}
-	operation, known := d.operations[class]
+	operation, known := d.operations[name]
 	id := m.Header.Get("X-Call-Id")
 	budget, err := strconv.ParseFloat(m.Header.Get("X-Budget"), 64)
 	arrival, well := d.arrival(m)
@@ -353,7 +353,7 @@
 	case !known:
 		v.refuse(404)
 		return
-	case class != first || !http1.Token(id) || err != nil || !(budget > 0 && budget < maxTimes) || !well,
+	case name != first || !http1.Token(id) || err != nil || !(budget > 0 && budget < maxTimes) || !well,
 		d.site.Deployment.Operations[operation].Effect == dispatch.Deduplicated &&
 			m.Header.Get("Idempotency-Key") == "":
 		v.refuse(400)
@@ -379,7 +379,7 @@
 		d.Event(dispatch.Withdrawn{Inv: inv})
 	})
 	d.inHand[inv], d.ids[id] = j, true
-	d.Took(&workers.Job{Inv: inv, ID: id, Method: m.Method, Target: m.Target, Host: m.Header.Get("Host"),
+	d.Took(&workers.Invocation{Inv: inv, ID: id, Method: m.Method, Target: m.Target, Host: m.Header.Get("Host"),
 		Fields: onward(m), Body: m.Body, GivenUp: givenUp})
 	arrival.Inv, arrival.Operation, arrival.Budget = inv, operation, givenUp-now
 	d.Event(arrival)
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -31,7 +31,9 @@
 		}
 		fmt.Printf("%T%+v\n", e, e)
 	}
-	d.Took = func(j *workers.Job) { fmt.Println("job", j.ID, j.Method, j.Target, j.Host, j.Fields, string(j.Body)) }
+	d.Took = func(j *workers.Invocation) {
+		fmt.Println("job", j.ID, j.Method, j.Target, j.Host, j.Fields, string(j.Body))
+	}
 	d.News = func(n workers.News) { fmt.Println("news", n.ID, n.From, n.State, n.Share, n.Load != nil) }
 	d.Served = func(time.Duration) {}
 	d.Ready, d.Report = func() bool { return true }, func() []byte { return []byte("{}") }
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -309,9 +309,9 @@
 	}
 }
 
-// Spare tells whether one more descriptor can be had with at least keep left. To make room, connections that are of
-// least use end, the oldest first: half requests could hold all descriptors, and workers' news would not get in. Their
-// owners hear so as if the peer had closed them.
+// Spare tells whether one more descriptor can be had with at least keep left. To make room, connections of least use
+// end, the oldest first: half requests could hold all descriptors, and workers' news would not get in. Their owners
+// hear so as if the peer had closed them.
 func (l *Loop) Spare(keep int) bool {
 	for _, u := range []Use{Idle, Begun} {
 		for l.sockets+keep >= l.limit && len(l.spare[u]) > 0 {
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -73,7 +73,7 @@
 	// Output:
 	// refused 4
 	// never up 4
-	// crowded 4
+	// crowded 2
 	// withheld 4
 	// cut short 4
 	// closed 5
--- a/internal/conn/ending.go
+++ b/internal/conn/ending.go
@@ -32,10 +32,11 @@
 )
 
 // results is the one place where endings become what the module is told. Only what proves that nothing has run may
-// stand beside Full, Unreachable or NotSent: all else counts as having run.
+// stand beside Full, Unreachable or NotSent: all else counts as having run. Our own want of descriptors is no word on the
+// worker, which Unreachable would set aside.
 var results = [...]dispatch.Result{
 	Open: dispatch.TimedOut, Refused: dispatch.Unreachable, NeverUp: dispatch.Unreachable,
-	Crowded: dispatch.Unreachable, Withheld: dispatch.Unreachable, CutShort: dispatch.Unreachable,
+	Crowded: dispatch.Full, Withheld: dispatch.Unreachable, CutShort: dispatch.Unreachable,
 	Closed: dispatch.Broken, Reset: dispatch.Broken, Stalled: dispatch.TimedOut, Garbage: dispatch.Failed,
 	TurnedAway: dispatch.Full, HandedBack: dispatch.Full, Faulted: dispatch.Failed, Lost: dispatch.Broken,
 	Served: dispatch.Succeeded, Expired: dispatch.TimedOut, CalledOff: dispatch.Cancelled, Unsent: dispatch.NotSent,
@@ -44,8 +45,8 @@
 // Result is the module's word for the ending of a forward or a probe.
 func (e Ending) Result() dispatch.Result { return results[e] }
 
-var names = [...]string{"open", "refused", "never up", "crowded", "withheld", "cut short", "closed", "reset", "stalled",
-	"garbage", "turned away", "handed back", "faulted", "lost", "served", "expired", "called off", "unsent"}
+var names = [...]string{"open", "refused", "never up", "crowded", "withheld", "cut short", "closed", "reset",
+	"stalled", "garbage", "turned away", "handed back", "faulted", "lost", "served", "expired", "called off", "unsent"}
 
 func (e Ending) String() string { return names[e] }
 
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -23,8 +23,8 @@
 	earlyMost    = 50 * time.Millisecond // that an answer waits for the word that its request has gone out
 )
 
-// Job is an invocation as it goes to a worker.
-type Job struct {
+// Invocation is one as it goes to a worker.
+type Invocation struct {
 	Inv                      dispatch.InvID
 	ID, Method, Target, Host string
 	Fields                   []http1.Field // go on unchanged
@@ -32,7 +32,7 @@
 	GivenUp                  time.Duration // when its client stops waiting
 }
 
-// News is what a worker calls back about a job.
+// News is what a worker calls back about a forward.
 type News struct {
 	ID, From, State string
 	Share           float64
@@ -78,7 +78,7 @@
 }
 
 type forward struct {
-	job      *Job
+	inv      *Invocation
 	number   int
 	worker   *worker
 	line     *line // until the worker has taken it
@@ -125,27 +125,27 @@
 	}
 }
 
-// Forward sends a job; its end is told as an event.
-func (f *Fleet) Forward(job *Job, fwd int, to dispatch.WorkerID) {
+// Forward sends an invocation; the end of that is told as an event.
+func (f *Fleet) Forward(inv *Invocation, fwd int, to dispatch.WorkerID) {
 	w := f.workers[to]
-	o := &forward{job: job, number: fwd, worker: w}
-	if w == nil || !f.Owed(job.Inv) {
-		f.Event(dispatch.Outcome{Inv: job.Inv, Worker: to, Forward: fwd, Result: conn.Unsent.Result(),
-			Closed: !f.Owed(job.Inv)})
+	o := &forward{inv: inv, number: fwd, worker: w}
+	if w == nil || !f.Owed(inv.Inv) {
+		f.Event(dispatch.Outcome{Inv: inv.Inv, Worker: to, Forward: fwd, Result: conn.Unsent.Result(),
+			Closed: !f.Owed(inv.Inv)})
 		return
 	}
 	f.Counts.Sent++
-	f.byNumber[number{job.Inv, fwd}], f.byName[name{job.ID, w.uid}] = o, o
-	o.deadline = f.loop.After(job.GivenUp-f.loop.Now(), func() { f.end(o, conn.Expired, nil) })
+	f.byNumber[number{inv.Inv, fwd}], f.byName[name{inv.ID, w.uid}] = o, o
+	o.deadline = f.loop.After(inv.GivenUp-f.loop.Now(), func() { f.end(o, conn.Expired, nil) })
 	o.line = f.ask(w, &ask{
 		request: func() []byte {
 			// The connection may have taken its time to come up: nothing is sent to a worker that drains by now.
 			if w.entry.Standing != dispatch.Ready {
 				return nil
 			}
-			left := max(0, job.GivenUp-f.loop.Now()).Seconds()
-			return http1.Request(job.Method, job.Target, job.Host, job.Body,
-				append(slices.Clip(job.Fields), http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...)
+			left := max(0, inv.GivenUp-f.loop.Now()).Seconds()
+			return http1.Request(inv.Method, inv.Target, inv.Host, inv.Body,
+				append(slices.Clip(inv.Fields), http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...)
 		},
 		done: func(m *http1.Message, e conn.Ending) {
 			o.line = nil
@@ -198,12 +198,12 @@
 
 // end is where every forward ends, once.
 func (f *Fleet) end(o *forward, e conn.Ending, load *dispatch.Load) {
-	key := number{o.job.Inv, o.number}
+	key := number{o.inv.Inv, o.number}
 	if f.byNumber[key] != o {
 		return
 	}
 	delete(f.byNumber, key)
-	delete(f.byName, name{o.job.ID, o.worker.uid})
+	delete(f.byName, name{o.inv.ID, o.worker.uid})
 	o.deadline.Stop()
 	switch l := o.line; {
 	case l == nil:
@@ -217,13 +217,13 @@
 		f.cancel(o)
 	}
 	f.Counts.Ended[e.String()]++
-	f.Event(dispatch.Outcome{Inv: o.job.Inv, Worker: o.worker.entry.Worker, Forward: o.number, Result: e.Result(), Load: load,
-		Closed: !f.Owed(o.job.Inv)})
+	f.Event(dispatch.Outcome{Inv: o.inv.Inv, Worker: o.worker.entry.Worker, Forward: o.number, Result: e.Result(),
+		Load: load, Closed: !f.Owed(o.inv.Inv)})
 }
 
 func (f *Fleet) cancel(o *forward) {
 	f.Counts.Cancels++
-	request := http1.Request("DELETE", "/jobs/"+o.job.ID, o.job.Host, nil)
+	request := http1.Request("DELETE", "/jobs/"+o.inv.ID, o.inv.Host, nil)
 	a := &ask{request: func() []byte { return request }, done: func(*http1.Message, conn.Ending) {}}
 	if l := f.ask(o.worker, a); l != nil {
 		a.limit = f.loop.After(cancelWithin, l.drop)
@@ -281,7 +281,7 @@
 		return
 	}
 	n.Load = o.worker.said(n.Load, f.site.Report.Blank())
-	sign := dispatch.Sign{Inv: o.job.Inv, Worker: o.worker.entry.Worker, Forward: o.number, Done: n.Share}
+	sign := dispatch.Sign{Inv: o.inv.Inv, Worker: o.worker.entry.Worker, Forward: o.number, Done: n.Share}
 	switch n.State {
 	case "started":
 		sign.Started = true
@@ -293,7 +293,7 @@
 			f.end(o, conn.Garbage, n.Load)
 			return
 		}
-		f.Deliver(o.job.Inv, *n.Result)
+		f.Deliver(o.inv.Inv, *n.Result)
 		f.end(o, conn.Served, n.Load)
 	case "failed":
 		f.end(o, conn.Faulted, n.Load)
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -105,8 +105,8 @@
 		Entry: dispatch.Entry{Worker: s.id, Standing: standing}}}})
 }
 
-func (s *stage) job(inv dispatch.InvID) *Job {
-	return &Job{Inv: inv, ID: fmt.Sprint("id", inv), Method: "POST", Target: "/render/7f", Host: "b", Body: []byte(" body"),
+func (s *stage) job(inv dispatch.InvID) *Invocation {
+	return &Invocation{Inv: inv, ID: fmt.Sprint("id", inv), Method: "POST", Target: "/render/7f", Host: "b", Body: []byte(" body"),
 		Fields: []http1.Field{{Name: "X-Call-Id", Value: fmt.Sprint("id", inv)}}, GivenUp: s.loop.Now() + 5*time.Second}
 }
 
