--- /dev/null
+++ b/cmd/stoatweir/log_test.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// A reader of the log that stalls costs lines, and no waiting; it is told how many.
+func Example_stalledLog() {
+	r, w := io.Pipe()
+	l := newLines(w)
+	l.Write([]byte("first\n"))
+	for len(l.waiting) > 0 { // the goroutine has it and waits for the reader
+		time.Sleep(time.Millisecond)
+	}
+	for n := range cap(l.waiting) + 3 {
+		fmt.Fprintf(l, "line %d\n", n)
+	}
+	text := make([]byte, 100)
+	n, _ := r.Read(text)
+	fmt.Print(string(text[:n]))
+	for len(l.waiting) == cap(l.waiting) {
+		time.Sleep(time.Millisecond)
+	}
+	l.Write([]byte("last\n"))
+	got := make(chan string)
+	go func() {
+		b, _ := io.ReadAll(r)
+		got <- string(b)
+	}()
+	l.close(time.Second)
+	w.Close()
+	rest := <-got
+	fmt.Println(strings.Count(rest, "line "))
+	fmt.Print(rest[strings.Index(rest, "3 lines"):])
+	// Output:
+	// first
+	// 256
+	// 3 lines were dropped
+	// last
+}
--- a/cmd/stoatweir/main.go
+++ b/cmd/stoatweir/main.go
@@ -46,6 +46,8 @@
 	}
 	// Whoever reads our log, or started us from a terminal, may go away: that is no reason to end.
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	out := newLines(os.Stderr)
+	log.SetOutput(out)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	go func() {
@@ -54,5 +56,6 @@
 		}
 	}()
 	s.run(listener)
-	fmt.Fprintf(os.Stderr, "%s\n", s.report())
+	fmt.Fprintf(out, "%s\n", s.report())
+	out.close(100 * time.Millisecond)
 }
