Watch again within the span in which news counts as told; a guess that can't be read is none

Checked on paper: after failed watches the module backs off to half the settings' asking span, 2.5 to 7.5 s of spread, while on sockets news counts as told after 6 s: a worker that drains meanwhile could be sent to after its grace. The service now gives it 5 s as that span. An optional figure that can't be read no longer costs its client a 400.

--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -23,6 +23,9 @@
 	otherFiles  = 24                     // descriptors that are no connections: standard ones, poller, listener
 	listWithin  = time.Second            // a start waits so long for the list before it trusts the known one
 	acceptAfter = 800 * time.Millisecond // connections go on coming after the order to stop
+	// What the list has to tell counts as told 6 s later, whether or not it has come: that is the span in which a
+	// watch that has failed must stand again, however long the settings allow not to ask.
+	toldWithin  = 5 * time.Second
 	leaveMost   = 3 * time.Second
 	againAfter  = 20 * time.Millisecond
 	leaveMargin = 400 * time.Millisecond // between the longest wait of a client and our end: no kill comes before
@@ -57,6 +60,8 @@
 
 func newService(node settings.Node, log *logrus.Entry) *service {
 	start := time.Now()
+	rules := &node.Site.Deployment.Rules
+	rules.AskWithin = min(rules.AskWithin, toldWithin)
 	sockets := node.Sockets - otherFiles
 	loop := conn.NewLoop(start, sockets)
 	s := &service{loop: loop, log: log, site: node.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -348,12 +348,11 @@
 	operation, known := d.operations[name]
 	id := m.Header.Get("X-Call-Id")
 	budget, err := strconv.ParseFloat(m.Header.Get("X-Budget"), 64)
-	arrival, well := d.arrival(m)
 	switch {
 	case !known:
 		v.refuse(404)
 		return
-	case name != first || !http1.Token(id) || err != nil || !(budget > 0 && budget < maxTimes) || !well,
+	case name != first || !http1.Token(id) || err != nil || !(budget > 0 && budget < maxTimes),
 		d.site.Deployment.Operations[operation].Effect == dispatch.Deduplicated &&
 			m.Header.Get("Idempotency-Key") == "":
 		v.refuse(400)
@@ -381,22 +380,22 @@
 	d.inHand[inv], d.ids[id] = j, true
 	d.Took(&workers.Invocation{Inv: inv, ID: id, Method: m.Method, Target: m.Target, Host: m.Header.Get("Host"),
 		Fields: onward(m), Body: m.Body, GivenUp: givenUp})
+	arrival := d.arrival(m)
 	arrival.Inv, arrival.Operation, arrival.Budget = inv, operation, givenUp-now
 	d.Event(arrival)
 }
 
-// arrival reads what the request says of its work; false: something in it can't be read.
-func (d *Door) arrival(m *http1.Message) (a dispatch.Arrival, well bool) {
-	well = true
-	number := func(text string) float64 {
+// arrival reads what the request says of its work. A guess that can't be read is as good as none: it must not cost the
+// client its answer.
+func (d *Door) arrival(m *http1.Message) (a dispatch.Arrival) {
+	number := func(text string, otherwise float64) float64 {
 		v, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-		well = well && err == nil && v >= 0 && v < 1e12
+		if err != nil || !(v >= 0 && v < 1e12) {
+			return otherwise
+		}
 		return v
 	}
-	a.Slots = 1
-	if cost := m.Header.Get("X-Call-Cost"); cost != "" {
-		a.Hint = number(cost) / 1e6
-	}
+	a.Slots, a.Hint = 1, number(m.Header.Get("X-Call-Cost"), 0)/1e6
 	if tenant := m.Header.Get("X-Caller"); tenant != "" {
 		known := false
 		if a.Tenant, known = d.tenants[tenant]; !known {
@@ -406,12 +405,12 @@
 	for pair := range strings.SplitSeq(m.Header.Get("X-Call-Info"), ",") {
 		switch name, value, _ := strings.Cut(strings.TrimSpace(pair), "="); name {
 		case "slots":
-			a.Slots = number(value)
+			a.Slots = number(value, 1)
 		case "memory":
-			a.Memory = number(value)
+			a.Memory = number(value, 0)
 		}
 	}
-	return a, well
+	return a
 }
 
 // onward lists the headers that go on to a worker, in one order for any run.
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -138,6 +138,9 @@
 	if len(p.Message.Body)+len(b) > MaxBody {
 		return bad(413, "body over %d bytes", MaxBody)
 	}
+	if p.Message.Body == nil && p.state == inBody { // in one piece, and only once some of it has come
+		p.Message.Body = make([]byte, 0, len(b)+p.left)
+	}
 	p.Message.Body = append(p.Message.Body, b...)
 	return nil
 }
