--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -43,7 +43,7 @@
 // Counts of what went out and how it ended.
 type Counts struct {
 	Sent, Probes, Cancels, News, Strange, Dialled int
-	Ended                                         map[string]int
+	Ended, Answered                               map[string]int // forwards and probes, by how they ended
 }
 
 // Fleet is the workers as seen from here.
@@ -90,7 +90,7 @@
 func NewFleet(loop *conn.Loop, site settings.Site, keep int) *Fleet {
 	return &Fleet{loop: loop, site: site, keep: keep, workers: map[dispatch.WorkerID]*worker{},
 		byUID: map[string]*worker{}, byNumber: map[number]*forward{}, byName: map[name]*forward{},
-		Counts: Counts{Ended: map[string]int{}}}
+		Counts: Counts{Ended: map[string]int{}, Answered: map[string]int{}}}
 }
 
 // List follows the list.
@@ -251,6 +251,7 @@
 	}
 	request := http1.Request("GET", path, w.endpoint, nil)
 	answer := func(e conn.Ending, load *dispatch.Load) {
+		f.Counts.Answered[e.String()]++
 		f.Event(dispatch.Answer{Worker: id, Result: e.Result(), Took: f.loop.Now() - asked, Load: load})
 	}
 	a := &ask{request: func() []byte { return request }}
