Spare requests that may be there unread when descriptors are short, and hold more in hand

A connection without a whole request ends for want of descriptors only after half a second: its request may have come and not been read, and ending it would lose it. The listener looks again every 50 ms meanwhile. In hand at most are three quarters of the descriptors now instead of six tenths: forwards need few, as a 202 frees their connection.

--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -66,8 +66,8 @@
 	loop := conn.NewLoop(start, sockets)
 	s := &service{loop: loop, log: log, site: node.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
 		core: dispatch.New(node.Site.Deployment, node.Seed), seed: node.Seed, last: -1,
-		door:  clients.New(loop, node.Site, sockets*6/10),
-		fleet: workers.NewFleet(loop, node.Site, sockets/8),
+		door:  clients.New(loop, node.Site, sockets*3/4),
+		fleet: workers.NewFleet(loop, node.Site, sockets/16),
 		list:  discovery.New(loop, node.Discovery, node.Site.Zones, node.Site.Kinds, start),
 		waits: hdrhistogram.New(1, time.Minute.Microseconds(), 3), thinks: hdrhistogram.New(1, 1e7, 2)}
 	event := func(e dispatch.Event) { s.events = append(s.events, e) }
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -24,10 +24,11 @@
 	// before it was read here, and the answer has a way to go too.
 	early = 5 * time.Millisecond
 	// overdue is how long after that the door answers by itself, should the decisions not have.
-	overdue  = 25 * time.Millisecond
-	readIn   = 10 * time.Second // a request has to be whole by then
-	spare    = 8                // descriptors that accepting leaves
-	maxTimes = 1e6              // seconds of a budget
+	overdue     = 25 * time.Millisecond
+	readIn      = 10 * time.Second // a request has to be whole by then
+	spare       = 8                // descriptors that accepting leaves
+	acceptAgain = 50 * time.Millisecond
+	maxTimes    = 1e6 // seconds of a budget
 )
 
 // Counts of what was taken in and how it was answered.
@@ -52,7 +53,8 @@
 	listener   net.Listener
 	more       chan struct{} // lets the listener accept one more
 	waits      bool          // for a descriptor
-	most       int           // invocations in hand
+	retry      *conn.Alarm
+	most       int // invocations in hand
 	last       dispatch.InvID
 	inHand     map[dispatch.InvID]*inHand
 	ids        map[string]bool
@@ -123,9 +125,13 @@
 }
 
 func (d *Door) accept() {
+	d.retry.Stop()
 	if d.waits = !d.loop.Spare(spare); !d.waits {
 		d.more <- struct{}{}
+		return
 	}
+	// Also where none becomes free: half requests grow old enough to go.
+	d.retry = d.loop.After(acceptAgain, d.loop.Freed)
 }
 
 // Owed tells whether a client still waits for the answer.
@@ -352,7 +358,7 @@
 	case !known:
 		v.refuse(404)
 		return
-	case name != first || !http1.Token(id) || err != nil || !(budget > 0 && budget < maxTimes),
+	case name != first || !http1.Token(id) || err != nil || !(budget > 0 && budget < maxBudget),
 		d.site.Deployment.Operations[operation].Effect == dispatch.Deduplicated &&
 			m.Header.Get("Idempotency-Key") == "":
 		v.refuse(400)
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -16,6 +16,9 @@
 // then gets all of it: cutting an answer short would lose the invocation.
 var writeWithin = 20 * time.Second
 
+// young is how long a connection without a whole request is safe: the request may have come and not been read yet.
+var young = 500 * time.Millisecond
+
 // lingers is how long a closed connection may still take in what its peer sends, as closing with unread bytes would
 // reset it and could cost the peer the answer.
 const lingers = time.Second
@@ -44,6 +47,7 @@
 	up, ended, quits bool
 	ending           Ending
 	use              Use
+	since            time.Duration // it has had that use
 }
 
 type note struct {
@@ -296,7 +300,7 @@
 	if at := slices.Index(c.loop.spare[c.use], c); at >= 0 {
 		c.loop.spare[c.use] = slices.Delete(c.loop.spare[c.use], at, at+1)
 	}
-	if c.use = u; u != Busy {
+	if c.use, c.since = u, c.loop.now; u != Busy {
 		c.loop.spare[u] = append(c.loop.spare[u], c)
 	}
 }
@@ -316,6 +320,9 @@
 	for _, u := range []Use{Idle, Begun} {
 		for l.sockets+keep >= l.limit && len(l.spare[u]) > 0 {
 			c := l.spare[u][0]
+			if u == Begun && l.now < c.since+young {
+				break
+			}
 			owner := c.owner
 			if c.Close(); owner != nil {
 				owner.Down(c, Closed)
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -202,6 +202,8 @@
 
 // For want of descriptors idle connections go, then those with half a request, never one that is in use.
 func Example_spare() {
+	defer func(before time.Duration) { young = before }(young)
+	young = 0
 	l := NewLoop(time.Now(), 4)
 	addr, shut := peer(func(c net.Conn) { io.Copy(io.Discard, c) })
 	defer shut()
