--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -28,7 +28,7 @@
 	readIn      = 10 * time.Second // a request has to be whole by then
 	spare       = 8                // descriptors that accepting leaves
 	acceptAgain = 50 * time.Millisecond
-	maxTimes    = 1e6 // seconds of a budget
+	maxBudget   = 1e6 // seconds of a budget
 )
 
 // Counts of what was taken in and how it was answered.
