Tell once that a watch stands when nothing has changed since the known version

Read in the code: the module takes a watch as standing at its first list. Where nothing has changed since the version that is known, a watch may bring empty lines alone; the module would have begun another every 2.5 s. An empty line now tells an empty change, once a watch.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -62,6 +62,7 @@
 	c      *conn.Conn
 	parser http1.Parser
 	line   []byte
+	stands bool // this watch has told something
 	quiet  *conn.Alarm
 }
 
@@ -163,7 +164,7 @@
 func (w *Watcher) Watch() {
 	w.drop()
 	w.Calls++
-	w.parser, w.line = http1.Parser{Answers: true, Stream: true}, nil
+	w.parser, w.line, w.stands = http1.Parser{Answers: true, Stream: true}, nil, false
 	w.c = w.loop.Dial(w.addr, connectIn, w)
 	w.quiet = w.loop.After(silence, w.silent)
 }
@@ -235,6 +236,12 @@
 		}
 		w.line = rest
 		if len(bytes.TrimSpace(line)) == 0 {
+			// Nothing has changed since the version we know. Whoever follows is told once: without a word it would
+			// take the watch for one that never came, and begin another.
+			if !w.stands {
+				w.stands = true
+				w.Told(List{Form: dispatch.ListDelta})
+			}
 			continue
 		}
 		list, err := w.Parse(line)
@@ -243,6 +250,7 @@
 			w.rev = 0
 			return err
 		}
+		w.stands = true
 		w.Told(list)
 	}
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -56,16 +56,17 @@
 }
 
 // A watch goes on from the version that is known, takes lines in however they are cut up, and is told to have failed
-// when it ends; after a line that makes no sense the next one asks for the whole list.
+// when it ends. An empty line says that it stands and nothing has changed, which is told once. After a line that makes no sense the next one asks for the whole list.
 func Example_watch() {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
 	defer l.Close()
-	scripts := make(chan []string, 3)
+	scripts := make(chan []string, 4)
 	scripts <- []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"rev", "\":4,\r\n",
 		"23\r\n\"all\":true,\"targets\":[]}\n\n{\"rev\":5,\r\n", "e\r\n\"targets\":[]}\n\r\n", "0\r\n\r\n"}
+	scripts <- []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n", "1\r\n\n\r\n0\r\n\r\n"}
 	scripts <- []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{oh}\r\n", "1\r\n\n\r\n"}
 	scripts <- []string{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"}
 	go func() {
@@ -89,7 +90,7 @@
 		if list.Form != dispatch.ListFailed {
 			return
 		}
-		if calls++; calls == 3 {
+		if calls++; calls == 4 {
 			loop.Stop()
 			return
 		}
@@ -105,6 +106,10 @@
 	// failed: the answer has ended
 	// form 0:
 	// GET /api/targets?stream=1&index=5 HTTP/1.1
+	// form 1:
+	// failed: the answer has ended
+	// form 0:
+	// GET /api/targets?stream=1&index=5 HTTP/1.1
 	// failed: invalid character 'o' looking for beginning of object key string
 	// form 0:
 	// GET /api/targets?stream=1&index=0 HTTP/1.1
