Leave a watch that is on its way alone when the module asks again

Read in the code: with 5 s as the asking span the module asks again after 2.5 s, while discovery may take 3 s for a call that waits its turn. The watch on its way was dropped for a new one at the end of the queue, so that a busy discovery would never have told anything.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -160,8 +160,12 @@
 	return id
 }
 
-// Watch begins a watch from the version that is known; one that is open is given up for it.
+// Watch begins a watch from the version that is known; one that stands is given up for it. One that is still on its way
+// is left alone: discovery takes calls in turn, and a new one would wait from the beginning.
 func (w *Watcher) Watch() {
+	if w.c != nil && !w.stands {
+		return
+	}
 	w.drop()
 	w.Calls++
 	w.parser, w.line, w.stands = http1.Parser{Answers: true, Stream: true}, nil, false
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -97,6 +97,7 @@
 		w.Watch()
 	}
 	w.Watch()
+	w.Watch() // while the first is on its way: there is one call
 	loop.After(10*time.Second, func() { panic("the watch hangs") })
 	loop.Run(func() {})
 	// Output:
