--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -230,7 +230,7 @@
 }
 
 // Down of a client with an invocation in hand: it has gone away.
-func (v *visit) Down(_ *conn.Conn, e conn.Ending) {
+func (v *visit) Down(*conn.Conn, conn.Ending) {
 	d := v.door
 	delete(d.visits, v)
 	v.slow.Stop()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -18,7 +18,7 @@
 }
 
 // least is how many descriptors are wanted for anything to work.
-const least = 64
+const least = 40
 
 // ReadNode reads the file that PROXY_CONFIG names; the other variables stand in for what is not in it.
 func ReadNode(env func(string) string) (n Node, err error) {
@@ -82,7 +82,7 @@
 	if n.Sockets == 0 {
 		n.Sockets = 1024
 	}
-	if n.MemoryMB < 32 {
+	if n.MemoryMB < 16 {
 		return n, fmt.Errorf("limits.memory_mb: %d is too little", n.MemoryMB)
 	}
 	if n.Sockets < least {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -64,7 +64,7 @@
 	// discovery: is not set, nor is PROXY_DISCOVERY
 	// listen: "here" is no address with a port
 	// seed: "seed" is no number of 16 hexadecimal digits
-	// limits.sockets: 9 is too few, 64 are the least
+	// limits.sockets: 9 is too few, 40 are the least
 	// limits.memory_mb: a int is wanted there, not a string
 	// settings: Operations: there are none
 	// settings: Operations[0].Effect: "odd" is unknown
