Accept to the last descriptors, so that news and refusals get through when they are short

Checked: sockets in use could never pass the limit less the eight that accepting left free, while twelve invocations could be in hand on client connections alone; news and clients then waited unaccepted until all in hand was overdue, and what waits there counts as taken. At fault: spare and the most in hand in clients.New, and 24 descriptors set apart where about seven are used. A test holds nearly all descriptors and sends news.

--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	otherFiles  = 24                     // descriptors that are no connections: standard ones, poller, listener
+	otherFiles  = 12                     // descriptors that are no connections: standard ones, poller, listener
 	listWithin  = time.Second            // a start waits so long for the list before it trusts the known one
 	acceptAfter = 800 * time.Millisecond // connections go on coming after the order to stop
 	// What the list has to tell counts as told 6 s later, whether or not it has come: that is the span in which a
@@ -66,8 +66,8 @@
 	loop := conn.NewLoop(start, sockets)
 	s := &service{loop: loop, log: log, site: node.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
 		core: dispatch.New(node.Site.Deployment, node.Seed), seed: node.Seed, last: -1,
-		door:  clients.New(loop, node.Site, sockets*3/4),
-		fleet: workers.NewFleet(loop, node.Site, sockets/16),
+		door:  clients.New(loop, node.Site, sockets*5/8),
+		fleet: workers.NewFleet(loop, node.Site, max(3, sockets/8)),
 		list:  discovery.New(loop, node.Discovery, node.Site.Zones, node.Site.Kinds, start),
 		waits: hdrhistogram.New(1, time.Minute.Microseconds(), 3), thinks: hdrhistogram.New(1, 1e7, 2)}
 	event := func(e dispatch.Event) { s.events = append(s.events, e) }
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -26,7 +26,7 @@
 	// overdue is how long after that the door answers by itself, should the decisions not have.
 	overdue     = 25 * time.Millisecond
 	readIn      = 10 * time.Second // a request has to be whole by then
-	spare       = 8                // descriptors that accepting leaves
+	spare       = 2                // descriptors that accepting leaves: what waits unaccepted counts as taken
 	acceptAgain = 50 * time.Millisecond
 	maxBudget   = 1e6 // seconds of a budget
 )
@@ -368,6 +368,7 @@
 		return
 	case len(d.inHand) >= d.most, d.leavesAt > 0 && d.loop.Now() >= d.leavesAt:
 		d.Counts.Crowded++
+		v.last = true // the descriptor is wanted: what waits to be accepted counts as taken, workers' news among it
 		v.answer(503, nil)
 		return
 	}
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -240,6 +240,36 @@
 	// 61 true
 }
 
+// With nearly all descriptors taken by invocations in hand, what comes besides is refused at once, and news gets in:
+// both would otherwise wait unaccepted, until all that is in hand is overdue.
+func Example_short() {
+	l, d, addr, shut := open(36)
+	defer shut()
+	d.Took, d.Event = func(*workers.Invocation) {}, func(dispatch.Event) {}
+	for n := range 36 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		c.Write([]byte(strings.Replace(job, "9b1f", fmt.Sprint("id", n), 1)))
+	}
+	until(l, "those in hand", func() bool { return d.InHand() == 36 })
+	for range 3 {
+		ask(l, addr, job)
+	}
+	news := `{"id":"id1","from":"s-1","state":"started"}`
+	ask(l, addr, fmt.Sprintf("POST /_jobs/news HTTP/1.1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(news), news))
+	fmt.Println(d.InHand(), d.Counts.Crowded)
+	// Output:
+	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// news id1 s-1 started 0 false
+	// "204 No Content\r\nConnection: close\r\n\r\n"
+	// 36 3
+}
+
 // While it leaves, the door is not ready, takes what still comes, ends each connection with its answer, and shuts
 // idle ones.
 func Example_leave() {
