--- a/cmd/stoatweir/main.go
+++ b/cmd/stoatweir/main.go
@@ -30,6 +30,12 @@
 }
 
 func main() {
+	// First of all: an order to read the configuration anew that came any earlier would end the program. Orders that
+	// come while one is carried out are one, as the file is read after the last of them.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	// Whoever reads our log may go away: that is no reason to end.
+	signal.Ignore(syscall.SIGPIPE)
 	log := logrus.New()
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
 		TimestampFormat: "15:04:05.000"})
@@ -44,8 +50,6 @@
 	if err != nil {
 		log.WithError(err).Fatal("can't listen")
 	}
-	// Whoever reads our log, or started us from a terminal, may go away: that is no reason to end.
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	out := newLines(os.Stderr)
 	log.SetOutput(out)
 	signals := make(chan os.Signal, 1)
@@ -55,6 +59,7 @@
 			s.loop.Put(stop{s})
 		}
 	}()
+	go s.reload(reloads, func() (settings.Node, error) { return settings.ReadNode(os.Getenv) })
 	s.run(listener)
 	fmt.Fprintf(out, "%s\n", s.report())
 	out.close(100 * time.Millisecond)
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"maps"
 	"net"
+	"os"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -39,6 +41,7 @@
 	door   *clients.Door
 	fleet  *workers.Fleet
 	list   *discovery.Watcher
+	node   settings.Node // as it was at the start, but for discovery
 	site   settings.Site
 	known  []byte
 	events []dispatch.Event
@@ -59,12 +62,12 @@
 }
 
 func newService(node settings.Node, log *logrus.Entry) *service {
-	start := time.Now()
+	start, given := time.Now(), node
 	rules := &node.Site.Deployment.Rules
 	rules.AskWithin = min(rules.AskWithin, toldWithin)
 	sockets := node.Sockets - otherFiles
 	loop := conn.NewLoop(start, sockets)
-	s := &service{loop: loop, log: log, site: node.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
+	s := &service{loop: loop, log: log, node: given, site: node.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
 		core: dispatch.New(node.Site.Deployment, node.Seed), seed: node.Seed, last: -1,
 		door:  clients.New(loop, node.Site, sockets*5/8),
 		fleet: workers.NewFleet(loop, node.Site, max(3, sockets/8)),
@@ -115,6 +118,37 @@
 	s.events = append(s.events, list.Listing())
 }
 
+// reload reads the configuration anew at each order, beside the loop, which must not wait for a disk.
+func (s *service) reload(orders <-chan os.Signal, read func() (settings.Node, error)) {
+	for range orders {
+		node, err := read()
+		s.loop.Put(newer{s, node, err})
+	}
+}
+
+type newer struct {
+	*service
+	node settings.Node
+	err  error
+}
+
+// Take follows a newer configuration. One that can't be used must not cost the service what it has.
+func (n newer) Take() {
+	s := n.service
+	if n.err != nil {
+		s.log.WithError(n.err).Error("the new configuration can't be used, the old one stays")
+		return
+	}
+	if keys := s.node.Fixed(n.node); len(keys) > 0 {
+		s.log.Warn("changed in the configuration, but only taken over at a start: ", strings.Join(keys, ", "))
+	}
+	if n.node.Discovery != s.node.Discovery {
+		s.log.Info("the watch of the list moves to ", n.node.Discovery)
+		s.node.Discovery = n.node.Discovery
+		s.list.Move(n.node.Discovery)
+	}
+}
+
 // decide asks the module for as long as something has happened; what it orders can make things happen.
 func (s *service) decide() {
 	for len(s.events) > 0 {
--- a/cmd/stoatweir/service_test.go
+++ b/cmd/stoatweir/service_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -143,8 +146,36 @@
 	if got := exchange(node, post("/render", head("1"), "end")); got != "HTTP/1.1 200 OK made" {
 		t.Error("served after a panic:", got)
 	}
-	hold("2", `"TakenIn":4`)
+	// Orders to read the configuration anew: an unusable file changes nothing, a good one moves the watch, and any
+	// number of them, one while stopping, does no harm.
+	moved := make(chan struct{}, 100)
+	second := serve(t, func(first, body string) string {
+		moved <- struct{}{}
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(list)+1, list)
+	})
+	orders, reads := make(chan os.Signal, 1), 0
+	go s.reload(orders, func() (settings.Node, error) {
+		next := config
+		next.Discovery = second
+		if reads++; reads == 1 {
+			return next, errors.New("discovery: is not set")
+		}
+		return next, nil
+	})
+	orders <- syscall.SIGHUP
+	for range 20 {
+		orders <- syscall.SIGHUP
+	}
+	<-moved
+	if got := exchange(node, post("/render", head("1"), "end")); got != "HTTP/1.1 200 OK made" {
+		t.Error("served after the move:", got)
+	}
+	if len(moved) > 0 {
+		t.Error("one move, more than one watch")
+	}
+	hold("2", `"TakenIn":5`)
 	s.loop.Put(stop{s})
+	orders <- syscall.SIGHUP
 	if got := exchange(node, "GET /-/ready HTTP/1.1\r\n\r\n"); got != "HTTP/1.1 503 Service Unavailable " {
 		t.Error("ready while it leaves:", got)
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -21,6 +21,10 @@
 	silence   = 3200 * time.Millisecond
 	connectIn = time.Second
 	maxLine   = 1 << 20 // of a watch, whatever the peer sends
+
+	// What there is to tell counts as told 4 s after the order to move: there is time for more than one try, each short.
+	moveFirst, moveMost = 50 * time.Millisecond, 500 * time.Millisecond // between tries to reach the new address
+	moveWord            = 1500 * time.Millisecond                       // until its first word
 )
 
 // Worker is one entry: where it listens as seen from here, and what the module is told of it.
@@ -45,24 +49,35 @@
 }
 
 // Watcher holds the watch. Told is called with each piece of news, also for a watch that fails: whoever follows
-// decides when to watch again.
+// decides when to watch again. A watch that moves to another address has not failed: the present one holds until the
+// next one tells, and the watcher itself tries that for as long as it takes.
 type Watcher struct {
 	Told   func(List)
 	Failed func(why string)
 	Calls  int // watches begun
 
-	loop         *conn.Loop
-	addr, host   string
-	zones, kinds names
-	start        time.Time
-	rev          uint64
-	ids          map[string]dispatch.WorkerID
-	taken        map[dispatch.WorkerID]bool
+	loop          *conn.Loop
+	addr          string
+	zones, kinds  names
+	start         time.Time
+	rev           uint64
+	ids           map[string]dispatch.WorkerID
+	taken         map[dispatch.WorkerID]bool
+	present, next *watch // nil: none
+	tries         int    // to reach the address that the watch moves to
+	moving        bool
+	retry         *conn.Alarm
+}
 
+// watch is one call that stays open.
+type watch struct {
+	*Watcher
 	c      *conn.Conn
+	addr   string
 	parser http1.Parser
 	line   []byte
-	stands bool // this watch has told something
+	rev    uint64 // asked for
+	stands bool   // it has told something
 	quiet  *conn.Alarm
 }
 
@@ -161,100 +176,145 @@
 }
 
 // Watch begins a watch from the version that is known; one that stands is given up for it. One that is still on its way
-// is left alone: discovery takes calls in turn, and a new one would wait from the beginning.
+// is left alone: discovery takes calls in turn, and a new one would wait from the beginning. So is one that moves.
 func (w *Watcher) Watch() {
-	if w.c != nil && !w.stands {
+	if w.moving || w.present != nil && !w.present.stands {
 		return
 	}
-	w.drop()
+	w.present.drop()
+	w.present = w.begin(w.rev, silence)
+}
+
+// Move takes the watch to another address. Versions there may be another count, so the whole list is asked for.
+func (w *Watcher) Move(addr string) {
+	if addr == w.addr {
+		return
+	}
+	w.next.drop()
+	w.retry.Stop()
+	w.addr, w.tries, w.next, w.moving = addr, 0, nil, true
+	if w.present != nil && w.present.addr == addr && w.present.stands {
+		w.moving = false // back to where it is
+		return
+	}
+	w.try()
+}
+
+func (w *Watcher) try() { w.next = w.begin(0, moveWord) }
+
+func (w *Watcher) begin(rev uint64, word time.Duration) *watch {
 	w.Calls++
-	w.parser, w.line, w.stands = http1.Parser{Answers: true, Stream: true}, nil, false
-	w.c = w.loop.Dial(w.addr, connectIn, w)
-	w.quiet = w.loop.After(silence, w.silent)
+	n := &watch{Watcher: w, addr: w.addr, rev: rev, parser: http1.Parser{Answers: true, Stream: true}}
+	n.c = w.loop.Dial(w.addr, connectIn, n)
+	n.quiet = w.loop.After(word, n.silent)
+	return n
 }
 
-func (w *Watcher) drop() {
-	if w.c != nil {
-		w.c.Close()
+func (n *watch) drop() {
+	if n != nil && n.c != nil {
+		n.c.Close()
+		n.c = nil
+		n.quiet.Stop()
 	}
-	w.c = nil
-	w.quiet.Stop()
 }
 
-func (w *Watcher) silent() { w.fail(errors.New("it is silent")) }
+func (n *watch) silent() { n.fail(errors.New("it is silent")) }
+
+func (n *watch) fail(why error) {
+	n.drop()
+	switch w := n.Watcher; {
+	case n == w.next:
+		w.next = nil
+		if w.tries++; w.tries == 1 {
+			w.Failed("the new address: " + why.Error()) // one line a move: tries are brisk
+		}
+		w.retry = w.loop.After(min(moveFirst<<min(w.tries, 8), moveMost), w.try)
+	case n == w.present && w.moving:
+		w.present = nil // its address goes away, as is to be expected; the next one is on its way
+	case n == w.present:
+		w.present = nil
+		w.Failed(why.Error())
+		w.Told(List{Form: dispatch.ListFailed})
+	}
+}
 
-func (w *Watcher) fail(why error) {
-	w.drop()
-	w.Failed(why.Error())
-	w.Told(List{Form: dispatch.ListFailed})
+// told passes news on. The first word of the next watch makes it the present one.
+func (n *watch) told(list List) {
+	w := n.Watcher
+	if n == w.next {
+		w.present.drop()
+		w.present, w.next, w.moving = n, nil, false
+	}
+	n.stands = true
+	w.Told(list)
 }
 
 // Up asks once the connection stands.
-func (w *Watcher) Up(c *conn.Conn) {
-	c.Write(http1.Request("GET", "/api/targets?stream=1&index="+strconv.FormatUint(w.rev, 10), w.addr, nil))
+func (n *watch) Up(c *conn.Conn) {
+	c.Write(http1.Request("GET", "/api/targets?stream=1&index="+strconv.FormatUint(n.rev, 10), n.addr, nil))
 }
 
 // Sent has nothing to do.
-func (w *Watcher) Sent(*conn.Conn) {}
+func (n *watch) Sent(*conn.Conn) {}
 
 // Down is the end of the watch.
-func (w *Watcher) Down(c *conn.Conn, e conn.Ending) {
-	if c == w.c {
-		w.fail(errors.New("the connection has ended: " + e.String()))
+func (n *watch) Down(c *conn.Conn, e conn.Ending) {
+	if c == n.c {
+		n.fail(errors.New("the connection has ended: " + e.String()))
 	}
 }
 
 // Read takes the lines in. Any byte, also of an empty line, shows that the watch is alive.
-func (w *Watcher) Read(c *conn.Conn) {
-	w.quiet.Stop()
-	w.quiet = w.loop.After(silence, w.silent)
-	for c == w.c && c.In.Len() > 0 {
-		n, step, err := w.parser.Feed(c.In.Bytes())
+func (n *watch) Read(c *conn.Conn) {
+	n.quiet.Stop()
+	n.quiet = n.loop.After(silence, n.silent)
+	for c == n.c && c.In.Len() > 0 {
+		used, step, err := n.parser.Feed(c.In.Bytes())
 		switch {
 		case err != nil:
-		case step == http1.Head && w.parser.Message.Status != 200:
-			err = fmt.Errorf("status %d", w.parser.Message.Status)
+		case step == http1.Head && n.parser.Message.Status != 200:
+			err = fmt.Errorf("status %d", n.parser.Message.Status)
 		case step == http1.Piece:
-			err = w.take(w.parser.Piece)
+			err = n.take(n.parser.Piece)
 		case step == http1.Whole:
 			err = errors.New("the answer has ended")
 		}
 		if err != nil {
-			w.fail(err)
+			n.fail(err)
 			return
 		}
-		if c == w.c { // whoever was told may have begun another watch
-			c.In.Drop(n)
+		if c == n.c { // whoever was told may have begun another watch
+			c.In.Drop(used)
 		}
 	}
 }
 
-func (w *Watcher) take(piece []byte) error {
-	if w.line = append(w.line, piece...); len(w.line) > maxLine {
+func (n *watch) take(piece []byte) error {
+	if n.line = append(n.line, piece...); len(n.line) > maxLine {
 		return errors.New("a line is too long")
 	}
-	for {
-		line, rest, found := bytes.Cut(w.line, []byte("\n"))
+	for n.c != nil {
+		line, rest, found := bytes.Cut(n.line, []byte("\n"))
 		if !found {
 			return nil
 		}
-		w.line = rest
+		n.line = rest
 		if len(bytes.TrimSpace(line)) == 0 {
 			// Nothing has changed since the version we know. Whoever follows is told once: without a word it would
-			// take the watch for one that never came, and begin another.
-			if !w.stands {
-				w.stands = true
-				w.Told(List{Form: dispatch.ListDelta})
+			// take the watch for one that never came, and begin another. A next one that has no list yet replaces
+			// none that still tells.
+			if !n.stands && (n == n.present || n.present == nil) {
+				n.told(List{Form: dispatch.ListDelta})
 			}
 			continue
 		}
-		list, err := w.Parse(line)
+		list, err := n.Parse(line)
 		if err != nil {
 			// The next watch is to bring the whole list: from here on changes would apply to an unknown one.
-			w.rev = 0
+			n.Watcher.rev = 0
 			return err
 		}
-		w.stands = true
-		w.Told(list)
+		n.told(list)
 	}
+	return nil
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -136,3 +136,86 @@
 	// form 0:
 	// true true
 }
+
+// serve is a discovery whose answers are lines; it prints what is asked under its name.
+func serve(name string, lines ...string) (addr string, shut func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	var open []net.Conn
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			open = append(open, c)
+			line, _ := textproto.NewReader(bufio.NewReader(c)).ReadLine()
+			fmt.Println(name, "is asked:", line)
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for _, text := range lines {
+				fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(text)+1, text)
+			}
+		}
+	}()
+	return l.Addr().String(), func() {
+		l.Close()
+		for _, c := range open {
+			c.Close()
+		}
+	}
+}
+
+// The watch holds while it moves, also towards an address where nobody listens yet; the whole list is asked for there,
+// as versions may be another count. The end of the old one is no failed list, the end of the new one is.
+func Example_move() {
+	const list = `{"rev":%d,"all":true,"targets":[{"uid":"%s","endpoint":"127.0.0.1:1","state":"Ready"}]}`
+	first, shutFirst := serve("first", fmt.Sprintf(list, 41, "s-1"))
+	second, shutSecond := serve("second", fmt.Sprintf(list, 7, "s-2"))
+	dead, shutDead := serve("dead")
+	shutDead()
+	loop, w := watcher(first)
+	told := 0
+	w.Told = func(l List) { show(l); told++ }
+	until := func(done func() bool) {
+		late := loop.After(10*time.Second, func() { panic("waited in vain") })
+		loop.Run(func() {
+			loop.After(time.Millisecond, func() {})
+			if done() {
+				loop.Stop()
+			}
+		})
+		late.Stop()
+	}
+	w.Watch()
+	until(func() bool { return told == 1 })
+	w.Move(dead)
+	until(func() bool { return w.tries == 2 })
+	w.Move(first) // back
+	fmt.Println("moving:", w.moving)
+	w.Move(dead)
+	until(func() bool { return w.tries == 1 })
+	shutFirst()
+	until(func() bool { return w.present == nil })
+	w.Watch() // the decisions need not know that it moves
+	fmt.Println("moving:", w.moving, "told:", told)
+	w.Move(second)
+	w.Move(second)
+	until(func() bool { return told == 2 })
+	fmt.Println("moving:", w.moving, "version:", w.rev)
+	shutSecond()
+	until(func() bool { return told == 3 })
+	// Output:
+	// first is asked: GET /api/targets?stream=1&index=0 HTTP/1.1
+	// form 2: [s-1 127.0.0.1:1 zone 2 kind 1 cell 0 standing 1 restarted false]
+	// failed: the new address: the connection has ended: refused
+	// moving: false
+	// failed: the new address: the connection has ended: refused
+	// moving: true told: 1
+	// second is asked: GET /api/targets?stream=1&index=0 HTTP/1.1
+	// form 2: [s-2 [::ffff:127.0.0.1%s-2]:1 zone 2 kind 1 cell 0 standing 1 restarted false]
+	// moving: false version: 7
+	// failed: the connection has ended: closed
+	// form 0:
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 )
 
@@ -17,6 +18,21 @@
 	Site                    Site
 }
 
+// Fixed lists the keys whose values in a newer file wait for the next start: only discovery changes under way.
+func (n Node) Fixed(newer Node) (keys []string) {
+	for _, v := range []struct {
+		key  string
+		same bool
+	}{{"name", n.Name == newer.Name}, {"listen", n.Listen == newer.Listen},
+		{"limits", n.MemoryMB == newer.MemoryMB && n.Sockets == newer.Sockets},
+		{"settings", reflect.DeepEqual(n.Site, newer.Site)}} {
+		if !v.same {
+			keys = append(keys, v.key)
+		}
+	}
+	return keys
+}
+
 // least is how many descriptors are wanted for anything to work.
 const least = 40
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,9 @@
 package settings
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 const siteText = `{"Discovery": "push", "MyZone": 2, "PeersTotal": 3, "Unheard": {"of": [1]},
 	"Operations": [
@@ -35,6 +38,23 @@
 	// settings: PeersTotal: a int is wanted there, not a string
 }
 
+// What a newer file says of anything but discovery waits for the next start, which is to be told.
+func ExampleNode_Fixed() {
+	text := `{"name":"n0","listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","limits":{"sockets":300},
+		"settings":{"PeersTotal":1,"Operations":[{"Name":"render","Effect":"read_like"}]}}`
+	read := func(changes ...string) Node {
+		n, err := ParseNode([]byte(strings.NewReplacer(changes...).Replace(text)), func(string) string { return "" })
+		if err != nil {
+			fmt.Println(err)
+		}
+		return n
+	}
+	n := read()
+	fmt.Println(n.Fixed(read("8500", "8501")), n.Fixed(read("9000", "9001", "300", "301", "render", "sale")))
+	// Output:
+	// [] [listen limits settings]
+}
+
 // A message names the key at fault, wherever it stands.
 func Example_node() {
 	env := func(name string) string { return map[string]string{"PROXY_NAME": "n7"}[name] }
