Keep bad clients from descriptors, core, workers and workers' good name

Checked with a trace at the door and at the workers' side: (1) 64 to 84 requests of bad clients reached workers, 4 tries each, all answered 400: ids of requests open at another scheduler. (2) 4% of the silent connections stood longer than 3 s, up to 12 s. (3) Thousands of 404 in bursts on single connections, 600 repeats each. (4) Ids were free once answered, with forwards still out. Ruled out: memory (12 of 64 MB); requests with two lengths (refused already). Now: Ending Unfit, one more worker asked, and blamed only if another takes it; a request within 2.5 s of connecting; shares of descriptors; growing waits for repeats; id, key and budget alone go on, checked; an id rests until 2 s after its last forward. Also: on entry three answers were lost at a stop, as the program could end with answers handed to writers and not written (Busy saw no connection that had quit); it waits for them now.

--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -36,6 +36,8 @@
 // service is the wiring: one loop owns the module, hands it what has happened and carries out what it decides.
 type service struct {
 	loop   *conn.Loop
+	ours   *conn.Share // of the descriptors: for clients and news
+	theirs *conn.Share // for workers
 	log    *logrus.Entry
 	core   *dispatch.Dispatcher
 	door   *clients.Door
@@ -66,11 +68,13 @@
 	rules := &node.Site.Deployment.Rules
 	rules.AskWithin = min(rules.AskWithin, toldWithin)
 	sockets := node.Sockets - otherFiles
-	loop := conn.NewLoop(start, sockets)
-	s := &service{loop: loop, log: log, node: given, site: node.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
+	loop := conn.NewLoop(start)
+	// Clients and news have five eighths of the descriptors, four for invocations in hand; workers have the rest.
+	ours, theirs := loop.Share(sockets-sockets*3/8), loop.Share(sockets*3/8)
+	s := &service{loop: loop, ours: ours, theirs: theirs, log: log, node: given, site: node.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
 		core: dispatch.New(node.Site.Deployment, node.Seed), seed: node.Seed, last: -1,
-		door:  clients.New(loop, node.Site, sockets*5/8),
-		fleet: workers.NewFleet(loop, node.Site, max(3, sockets/8)),
+		door:  clients.New(loop, node.Site, ours, sockets/2),
+		fleet: workers.NewFleet(loop, node.Site, theirs),
 		list:  discovery.New(loop, node.Discovery, node.Site.Zones, node.Site.Kinds, start),
 		waits: hdrhistogram.New(1, time.Minute.Microseconds(), 3), thinks: hdrhistogram.New(1, 1e7, 2)}
 	event := func(e dispatch.Event) { s.events = append(s.events, e) }
@@ -196,6 +200,7 @@
 		for fwd := range s.invs[inv].forwards {
 			s.fleet.Cancel(inv, fwd)
 		}
+		s.door.Free(s.invs[inv].ID, s.invs[inv].forwards > 0)
 	}
 	s.invs = map[dispatch.InvID]*tracked{}
 	s.seed++
@@ -217,16 +222,22 @@
 	}
 }
 
-// ended lets an invocation go when its client has its answer and no forward is out.
+// ended counts the forwards that are out.
 func (s *service) ended(event dispatch.Event) {
 	inv, _ := event.About()
 	if j := s.invs[inv]; j != nil {
 		if _, is := event.(dispatch.Outcome); is {
 			j.out--
 		}
-		if j.out <= 0 && !s.door.Owed(inv) {
-			delete(s.invs, inv)
-		}
+		s.settle(inv, j)
+	}
+}
+
+// settle lets an invocation go when its client has its answer and no forward is out.
+func (s *service) settle(inv dispatch.InvID, j *tracked) {
+	if j.out <= 0 && !s.door.Owed(inv) {
+		delete(s.invs, inv)
+		s.door.Free(j.ID, j.forwards > 0)
 	}
 }
 
@@ -259,8 +270,8 @@
 }
 
 func (s *service) answered(inv dispatch.InvID) {
-	if j := s.invs[inv]; j != nil && j.out <= 0 {
-		delete(s.invs, inv)
+	if j := s.invs[inv]; j != nil {
+		s.settle(inv, j)
 	}
 }
 
@@ -299,7 +310,7 @@
 	}
 	text, err := json.Marshal(map[string]any{
 		"clients": s.door.Counts, "workers": s.fleet.Counts, "watches": s.list.Calls, "in_hand": s.door.InHand(),
-		"out": s.fleet.Out(), "panics": s.panics, "sockets": s.loop.Sockets(), "served_us": spread(s.waits),
+		"out": s.fleet.Out(), "panics": s.panics, "sockets": s.ours.Used() + s.theirs.Used(), "served_us": spread(s.waits),
 		"decided_us": spread(s.thinks),
 	})
 	if err != nil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,6 +33,7 @@
 	queueShare, sureFresh   = 0.5, 0.6            // what may queue on old figures; how far they hold for a clone
 	crowd                   = 16                  // schedulers, of all, that may take notice of a cold worker
 	asideProbes, trialRuns  = 2, 3                // answers until it is on trial, successes until in full
+	unfitMost               = 2                   // workers that need not have an invocation until none is asked
 	hintLow, waitShare      = 1.4, 0.5            // work over hinted cost in the middle; slack for waiting
 
 	beat, patience       = 20 * time.Millisecond, 300 * time.Millisecond // time alone decides; a sign is due
@@ -40,10 +41,6 @@
 	asideMost            = 8 * time.Second
 )
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-func (s samples) spread() float64 { return s.at(0.84) - s.at(0.5) }
-
 // New starts an instance. The deployment is turned into the figures that decisions use and is not kept.
 func New(dep Deployment, seed int64) *Dispatcher {
 	d := &Dispatcher{workerAt: map[WorkerID]int{}, invAt: map[InvID]int{}, asks: !dep.Pushed,
@@ -235,6 +232,8 @@
 		case Answer:
 			w.answered(e)
 		}
+	case blamed:
+		w.setAside("turns away what others take", false)
 	}
 	w.tell()
 }
@@ -291,15 +290,6 @@
 	w.zone, w.kind, w.cell = e.Zone, e.Kind, e.Cell
 }
 
-func (w *worker) find(inv, fwd int) *errand {
-	for i := range w.errands {
-		if e := &w.errands[i]; e.inv == inv && e.fwd == fwd && e.end == 0 {
-			return e
-		}
-	}
-	return nil
-}
-
 func (w *worker) release(before time.Duration) {
 	for i := range w.errands {
 		if e := &w.errands[i]; e.end == 0 && !e.lost && e.sent <= before {
@@ -448,15 +438,6 @@
 	}
 }
 
-func (k *desk) slot() (i int) {
-	if n := len(k.spare); n > 0 {
-		i, k.spare = k.spare[n-1], k.spare[:n-1]
-		return i
-	}
-	k.invs = append(k.invs, inv{})
-	return len(k.invs) - 1
-}
-
 func (k *desk) read(note any) {
 	switch n := note.(type) {
 	case card:
@@ -623,8 +604,8 @@
 func (k *desk) may(j *inv) bool {
 	o := &k.ops[j.op]
 	out, first := j.live()
-	return len(j.tries) < k.mostForwards && out < k.mostOut && (first == nil || o.effect == Idempotent ||
-		o.effect == Deduplicated && k.now < first.sent+o.window)
+	return len(j.tries) < k.mostForwards && out < k.mostOut && j.unfit < unfitMost && (first == nil ||
+		o.effect == Idempotent || o.effect == Deduplicated && k.now < first.sent+o.window)
 }
 
 // slack is how long an invocation may wait, from its first try, before a worker of that pace is too late.
@@ -650,7 +631,8 @@
 	case out > 0: // it may still be answered
 		k.unhold(i)
 		return
-	case first == nil || o.effect == Idempotent || o.effect == Deduplicated && o.scope == ScopeAll:
+	case j.unfit < unfitMost && (first == nil || o.effect == Idempotent ||
+		o.effect == Deduplicated && o.scope == ScopeAll):
 		k.do(Throttled{j.id, k.after})
 	default:
 		k.do(Errored{j.id})
@@ -683,7 +665,14 @@
 	t.out, t.ran = false, e.Result != Full && e.Result != Unreachable && e.Result != NotSent
 	key := [3]int{t.at, j.op, j.tenant}
 	switch e.Result {
+	case Unfit: // its own fault or the worker's: the next worker's word tells which
+		t.unfit, j.unfit = true, j.unfit+1
 	case Succeeded:
+		for _, t := range j.tries {
+			if t.unfit {
+				k.door.list[t.at].worker.put(blamed{})
+			}
+		}
 		delete(k.refused, key)
 		o.sizes.add(n.ran.Seconds())
 		o.ratios.add(n.ran.Seconds() / j.work)
@@ -694,7 +683,7 @@
 			k.paces[c.kind], k.paced[c.kind] = paces, paces.at(0.5)
 		}
 	case Full:
-		// One that turns a tenant away while its probes show room would draw that tenant's top invocation for ever.
+		// One that turns a tenant away while its probes show room would draw its top invocation for ever.
 		span := min(max(2*k.refused[key][1], asideFirst/8), asideMost)
 		k.refused[key] = [2]time.Duration{k.now + span, span}
 	}
--- a/dispatch/trace_test.go
+++ b/dispatch/trace_test.go
@@ -488,3 +488,26 @@
 	// Output:
 	// calls in each second: [184 201 198 200 202 15]
 }
+
+// What a worker would not have goes to one more: if that takes it the first worker is at fault, if not the invocation.
+func Example_unfit() {
+	p := start(shop(), ready('a', 0), ready('b', 0), ready('c', 0))
+	p.at(10*ms, free('a', 3), free('b', 2), free('c', 1))
+	p.at(20*ms, job(1, 0, 0.2))
+	p.at(30*ms, p.end(1, 0, Unfit))
+	p.at(40*ms, p.end(1, 1, Unfit))
+	p.at(50*ms, job(2, 0, 0.2))
+	p.at(60*ms, p.end(2, 0, Unfit))
+	p.at(70*ms, p.end(2, 1, Succeeded))
+	p.at(80*ms, job(3, 2, 0.2))
+	p.at(90*ms, p.end(3, 0, Unfit))
+	// Output:
+	// 20ms 1 to a
+	// 30ms 1 to b
+	// 40ms 1 errored
+	// 50ms 2 to a
+	// 60ms 2 to c
+	// 70ms worker a is set aside: turns away what others take
+	// 80ms 3 to c
+	// 90ms 3 errored
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -141,6 +141,7 @@
 	Broken
 	Cancelled
 	NotSent
+	Unfit // the worker would not have it, whatever its load; it may have run
 )
 
 // Outcome ends a forward. Closed: the client has its final answer.
@@ -299,6 +300,10 @@
 	return sorted[int(part*float64(len(s)))]
 }
 
+func (s samples) spread() float64 { return s.at(0.84) - s.at(0.5) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // The notes that parts put into each other's inboxes, beside the events themselves.
 type (
 	tick   struct{}                   // time has passed
@@ -309,11 +314,12 @@
 		event Event
 		ran   time.Duration
 	}
-	freed struct{ id InvID }             // desk to door: nothing more will be heard of it
-	sent  struct{ errand }               // desk to worker
-	stuck struct{ inv, fwd int }         // worker to desk: no answer is to be expected soon
-	pair  struct{ gap, changed float64 } // worker to desk: two answers in a row, with one report or two
-	view  struct {                       // desk to worker, while it matters: what was learned of all workers
+	blamed struct{}                       // desk to worker: another one took what it would not have
+	freed  struct{ id InvID }             // desk to door: nothing more will be heard of it
+	sent   struct{ errand }               // desk to worker
+	stuck  struct{ inv, fwd int }         // worker to desk: no answer is to be expected soon
+	pair   struct{ gap, changed float64 } // worker to desk: two answers in a row, with one report or two
+	view   struct {                       // desk to worker, while it matters: what was learned of all workers
 		lag     time.Duration // how old a report is when it comes
 		run     float64       // the usual running time
 		usual   need          // what is free
@@ -358,6 +364,7 @@
 	at              int
 	sent            time.Duration
 	out, ran, stuck bool // ran: it may have run
+	unfit           bool // the worker would not have it
 }
 
 // Dispatcher is one scheduler's decisions. As the door it makes ids small indices, and it follows the list.
@@ -426,6 +433,7 @@
 	work, cost, size     float64       // hinted cost, that and one deviation, effective size
 	weight, rank         float64
 	done, over           bool // answered; nothing more will be heard of it
+	unfit                int  // workers that would not have it
 	tries                []tried
 }
 
@@ -452,3 +460,21 @@
 	arrivals                        samples
 	refused                         map[[3]int][2]time.Duration // a worker, operation, tenant
 }
+
+func (k *desk) slot() (i int) {
+	if n := len(k.spare); n > 0 {
+		i, k.spare = k.spare[n-1], k.spare[:n-1]
+		return i
+	}
+	k.invs = append(k.invs, inv{})
+	return len(k.invs) - 1
+}
+
+func (w *worker) find(inv, fwd int) *errand {
+	for i := range w.errands {
+		if e := &w.errands[i]; e.inv == inv && e.fwd == fwd && e.end == 0 {
+			return e
+		}
+	}
+	return nil
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"net"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -24,16 +25,25 @@
 	// before it was read here, and the answer has a way to go too.
 	early = 5 * time.Millisecond
 	// overdue is how long after that the door answers by itself, should the decisions not have.
-	overdue     = 25 * time.Millisecond
-	readIn      = 10 * time.Second // a request has to be whole by then
-	spare       = 2                // descriptors that accepting leaves: what waits unaccepted counts as taken
+	overdue = 25 * time.Millisecond
+	// readIn is how long a connection has for a whole request, the first from its beginning: who connects and says
+	// nothing, or sends a byte now and then, is owed an end within 3 s, and holds a descriptor until then.
+	readIn      = 2500 * time.Millisecond
 	acceptAgain = 50 * time.Millisecond
-	maxBudget   = 1e6 // seconds of a budget
+	// Who is turned away for a request that makes no sense and asks again on the same connection waits ever longer
+	// for the next answer: thousands of such requests a second would take the core from all others.
+	patienceFirst, patienceMost = 2 * time.Millisecond, 250 * time.Millisecond
+	// idRests is how long an id stays taken after the last forward of it has ended: a DELETE or late news of the old
+	// one would hit a new one of that name.
+	idRests           = 2 * time.Second
+	maxID, maxKey     = 64, 256
+	maxTarget         = 2 << 10
+	maxBudget, digits = 1e6, "0123456789" // of a budget: seconds, and what it is written in
 )
 
 // Counts of what was taken in and how it was answered.
 type Counts struct {
-	Connections, TakenIn, Succeeded, Throttled, Errored, Left, Overdue, Malformed, Crowded int
+	Connections, TakenIn, Succeeded, Throttled, Errored, Left, Overdue, Malformed, Crowded, Silent int
 }
 
 // Door is where clients and workers' news come in.
@@ -47,6 +57,7 @@
 	Counts Counts
 
 	loop       *conn.Loop
+	share      *conn.Share
 	site       settings.Site
 	operations map[string]int
 	tenants    map[string]int
@@ -69,9 +80,10 @@
 	overdue *conn.Alarm
 }
 
-// New makes a door that is shut. most is how many invocations may be in hand at once.
-func New(loop *conn.Loop, site settings.Site, most int) *Door {
-	d := &Door{loop: loop, site: site, most: most, operations: map[string]int{}, tenants: map[string]int{},
+// New makes a door that is shut. most is how many invocations may be in hand at once: fewer than its share of
+// descriptors, so that there is always one to be had for news, and for whoever comes next.
+func New(loop *conn.Loop, site settings.Site, share *conn.Share, most int) *Door {
+	d := &Door{loop: loop, share: share, site: site, most: most, operations: map[string]int{}, tenants: map[string]int{},
 		inHand: map[dispatch.InvID]*inHand{}, ids: map[string]bool{}, visits: map[*visit]struct{}{},
 		more: make(chan struct{}, 1)}
 	for i, name := range site.Operations {
@@ -80,7 +92,7 @@
 	for i, name := range site.Tenants {
 		d.tenants[name] = i
 	}
-	loop.Freed = func() {
+	share.Freed = func() {
 		if d.waits {
 			d.waits = false // before anything that may free another one: one leave at a time
 			d.accept()
@@ -119,19 +131,20 @@
 	d.Counts.Connections++
 	v := &visit{door: d}
 	d.visits[v] = struct{}{}
-	v.c = d.loop.Adopt(a.net, v)
+	v.c = d.share.Adopt(a.net, v)
 	v.c.Set(conn.Begun) // its first request is on the way: older ones without a whole one go before it
+	v.slow = d.loop.After(readIn, v.late)
 	d.accept()
 }
 
 func (d *Door) accept() {
 	d.retry.Stop()
-	if d.waits = !d.loop.Spare(spare); !d.waits {
+	if d.waits = !d.share.Spare(0); !d.waits {
 		d.more <- struct{}{}
 		return
 	}
 	// Also where none becomes free: half requests grow old enough to go.
-	d.retry = d.loop.After(acceptAgain, d.loop.Freed)
+	d.retry = d.loop.After(acceptAgain, d.share.Freed)
 }
 
 // Owed tells whether a client still waits for the answer.
@@ -181,7 +194,15 @@
 	j := d.inHand[inv]
 	j.overdue.Stop()
 	delete(d.inHand, inv)
-	delete(d.ids, j.id)
+}
+
+// Free lets an id go some time after the last forward of it has ended; unless it was never sent, news of it may come.
+func (d *Door) Free(id string, sent bool) {
+	if !sent {
+		delete(d.ids, id)
+		return
+	}
+	d.loop.After(idRests, func() { delete(d.ids, id) })
 }
 
 // Leave begins the end: readiness is withdrawn, idle connections close and every answer closes its own. What comes
@@ -206,7 +227,7 @@
 			return true
 		}
 	}
-	return false
+	return !d.share.Flushed()
 }
 
 // visit is one connection from a client, or from a worker with news.
@@ -216,7 +237,10 @@
 	parser http1.Parser
 	inv    dispatch.InvID // 0: nothing in hand
 	last   bool           // the connection ends with the present answer
-	slow   *conn.Alarm
+	slow   *conn.Alarm    // the next request has to be whole by then, or the answer to the present one waits
+	waits  bool           // for that
+	strays int            // requests in a row that made no sense
+	useful bool           // it has brought an invocation or news
 }
 
 // Up has nothing to do.
@@ -224,7 +248,10 @@
 
 // Sent makes the connection one that may be closed for want of descriptors.
 func (v *visit) Sent(c *conn.Conn) {
-	if v.inv == 0 && !v.parser.Started() {
+	if v.inv != 0 || v.waits || v.parser.Started() {
+		return
+	}
+	if c.Set(conn.Done); v.useful {
 		c.Set(conn.Idle)
 	}
 }
@@ -247,11 +274,22 @@
 	v.c.Quit()
 }
 
-// Read takes a request in. One at a time: what follows before the answer stays in the ring, and the connection ends
-// with that answer, as clients wait for answers and a front that does not could mix them up.
+// late ends a connection that has taken too long for a request. One that never said a word gets none either: an answer
+// could cross its request.
+func (v *visit) late() {
+	if v.slow = nil; v.parser.Started() {
+		v.malformed(408)
+		return
+	}
+	v.door.Counts.Silent++
+	delete(v.door.visits, v)
+	v.c.Close()
+}
+
+// Read takes a request in. One at a time: clients wait for answers, so what follows an invocation before its answer is
+// the rest of a body longer than its length says, or a request that is hidden in it. The connection ends with that answer.
 func (v *visit) Read(c *conn.Conn) {
-	c.Set(conn.Busy)
-	for c.In.Len() > 0 && v.inv == 0 && !v.last {
+	for c.In.Len() > 0 && v.inv == 0 && !v.last && !v.waits {
 		n, step, err := v.parser.Feed(c.In.Bytes())
 		c.In.Drop(n)
 		if err != nil {
@@ -264,6 +302,7 @@
 		if step == http1.Whole {
 			v.slow.Stop()
 			v.slow = nil
+			c.Set(conn.Busy)
 			m := v.parser.Message
 			v.last = m.Close
 			v.take(m)
@@ -272,12 +311,12 @@
 	if v.inv != 0 && c.In.Len() > 0 {
 		v.last = true
 	}
-	if !v.parser.Started() || v.last {
+	if !v.parser.Started() || v.last || v.waits {
 		return
 	}
 	c.Set(conn.Begun)
 	if v.slow == nil {
-		v.slow = v.door.loop.After(readIn, func() { v.malformed(408) })
+		v.slow = v.door.loop.After(readIn, v.late)
 	}
 }
 
@@ -316,9 +355,23 @@
 	}
 }
 
+// refuse answers a request that makes no sense.
 func (v *visit) refuse(status int) {
-	v.door.Counts.Malformed++
-	v.answer(status, nil)
+	d := v.door
+	d.Counts.Malformed++
+	if v.strays++; v.strays == 1 || v.last || d.leavesAt > 0 {
+		v.answer(status, nil)
+		return
+	}
+	v.waits = true
+	v.c.Set(conn.Done)
+	v.slow = d.loop.After(min(patienceFirst<<min(v.strays, 16), patienceMost), func() {
+		v.waits, v.slow = false, nil
+		v.answer(status, nil)
+		if !v.last {
+			v.Read(v.c)
+		}
+	})
 }
 
 func (v *visit) news(m *http1.Message) {
@@ -336,13 +389,13 @@
 	if len(in.Load) > 0 {
 		n.Load = v.door.site.Report.Parse(string(in.Load))
 	}
+	v.useful = true
 	v.answer(204, nil) // whatever it is about: the worker goes on trying until it has been heard
 	v.door.News(n)
 }
 
-// hopByHop are the headers that concern one connection, or that are written anew.
-var hopByHop = map[string]bool{"Connection": true, "Content-Length": true, "Transfer-Encoding": true, "Host": true,
-	"X-Budget": true, "Keep-Alive": true, "Expect": true, "Te": true, "Trailer": true, "Upgrade": true}
+// once are the headers that may stand in a request only once: of two, each reader could believe another.
+var once = []string{"X-Call-Id", "X-Call-Class", "X-Budget", "Idempotency-Key", "Host"}
 
 func (v *visit) invocation(m *http1.Message, path string) {
 	d := v.door
@@ -353,14 +406,17 @@
 	}
 	operation, known := d.operations[name]
 	id := m.Header.Get("X-Call-Id")
-	budget, err := strconv.ParseFloat(m.Header.Get("X-Budget"), 64)
+	budget, sound := span(m.Header.Get("X-Budget"))
+	for _, name := range once {
+		sound = sound && len(m.Header[name]) < 2
+	}
 	switch {
 	case !known:
 		v.refuse(404)
 		return
-	case name != first || !http1.Token(id) || err != nil || !(budget > 0 && budget < maxBudget),
-		d.site.Deployment.Operations[operation].Effect == dispatch.Deduplicated &&
-			m.Header.Get("Idempotency-Key") == "":
+	case !sound, name != first, !http1.Token(id), len(id) > maxID, !target(m.Target, path),
+		!key(m.Header["Idempotency-Key"], d.site.Deployment.Operations[operation].Effect),
+		strings.Trim(string(v.c.In.Bytes()), "\r\n") != "":
 		v.refuse(400)
 		return
 	case d.ids[id]:
@@ -372,8 +428,12 @@
 		v.answer(503, nil)
 		return
 	}
+	if most := d.site.Timeouts[operation]; most > 0 {
+		budget = min(budget, most) // a longer one would look as if all other clients had waited for long
+	}
+	v.strays, v.useful = 0, true
 	now := d.loop.Now()
-	givenUp := now + settings.Span(budget) - early // a request's time counts from its last byte
+	givenUp := now + budget - early // a request's time counts from its last byte
 	d.last++
 	d.Counts.TakenIn++
 	v.inv = d.last
@@ -385,13 +445,54 @@
 		d.Event(dispatch.Withdrawn{Inv: inv})
 	})
 	d.inHand[inv], d.ids[id] = j, true
-	d.Took(&workers.Invocation{Inv: inv, ID: id, Method: m.Method, Target: m.Target, Host: m.Header.Get("Host"),
-		Fields: onward(m), Body: m.Body, GivenUp: givenUp})
+	d.Took(&workers.Invocation{Inv: inv, ID: id, Method: m.Method, Target: m.Target, Fields: onward(m), Body: m.Body,
+		GivenUp: givenUp})
 	arrival := d.arrival(m)
 	arrival.Inv, arrival.Operation, arrival.Budget = inv, operation, givenUp-now
 	d.Event(arrival)
 }
 
+// span reads a budget: seconds, with decimals, and nothing that only some readers take for a number.
+func span(text string) (time.Duration, bool) {
+	if strings.Trim(text, digits+".") != "" {
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	return settings.Span(v), err == nil && v > 0 && v < maxBudget
+}
+
+// target tells whether a worker will read the same in it as we do.
+func target(text, path string) bool {
+	plain, err := url.PathUnescape(path)
+	if err != nil || len(text) > maxTarget || strings.ContainsAny(text, "#\\\"<>") {
+		return false
+	}
+	for _, c := range text + plain {
+		if c <= ' ' || c >= 0x7f {
+			return false
+		}
+	}
+	for part := range strings.SplitSeq(plain[1:], "/") {
+		if part == "" || part == "." || part == ".." {
+			return false
+		}
+	}
+	return true
+}
+
+// key tells whether workers can know a repeat by its key, where the operation needs one.
+func key(values []string, effect dispatch.Effect) bool {
+	if len(values) == 0 {
+		return effect != dispatch.Deduplicated
+	}
+	for _, c := range values[0] {
+		if c <= ' ' || c >= 0x7f {
+			return false
+		}
+	}
+	return values[0] != "" && len(values[0]) <= maxKey
+}
+
 // arrival reads what the request says of its work. A guess that can't be read is as good as none: it must not cost the
 // client its answer.
 func (d *Door) arrival(m *http1.Message) (a dispatch.Arrival) {
@@ -420,13 +521,12 @@
 	return a
 }
 
-// onward lists the headers that go on to a worker, in one order for any run.
+// onward lists the headers that go on to a worker, which are those that it needs. Any other could mean something to it
+// that its sender has no right to say.
 func onward(m *http1.Message) (fields []http1.Field) {
-	for _, name := range slices.Sorted(maps.Keys(m.Header)) {
-		for _, value := range m.Header[name] {
-			if !hopByHop[name] {
-				fields = append(fields, http1.Field{Name: name, Value: value})
-			}
+	for _, name := range []string{"X-Call-Id", "Idempotency-Key"} {
+		if value := m.Header.Get(name); value != "" {
+			fields = append(fields, http1.Field{Name: name, Value: value})
 		}
 	}
 	return fields
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"slices"
+	"sync"
 	"time"
 
 	"stoatweir/internal/ring"
@@ -16,12 +17,19 @@
 // then gets all of it: cutting an answer short would lose the invocation.
 var writeWithin = 20 * time.Second
 
-// young is how long a connection without a whole request is safe: the request may have come and not been read yet.
-var young = 500 * time.Millisecond
+// young is how long a connection without a whole request comes behind idle ones: the request may be there unread.
+var young = 100 * time.Millisecond
 
-// lingers is how long a closed connection may still take in what its peer sends, as closing with unread bytes would
-// reset it and could cost the peer the answer.
-const lingers = time.Second
+const (
+	// lingers is how long a closed connection may still take in what its peer sends, as closing with unread bytes
+	// would reset it and could cost the peer the answer.
+	lingers = 2 * time.Second
+	// What is taken in then is thrown away by the goroutine, in large gulps with a rest after each: a peer that
+	// sends without end must cost neither turns of the loop nor the core.
+	gulp, rest = 64 << 10, time.Millisecond
+)
+
+var gulps = sync.Pool{New: func() any { return new([gulp]byte) }}
 
 // Owner is told of a connection, in the loop. Down comes once and last, and not after Close.
 type Owner interface {
@@ -37,6 +45,7 @@
 	In ring.Buffer
 
 	loop             *Loop
+	share            *Share
 	owner            Owner
 	net              net.Conn
 	abort            context.CancelFunc
@@ -45,6 +54,7 @@
 	toRead, toWrite  chan []byte
 	reading, writing bool // a run of bytes is with the goroutine
 	up, ended, quits bool
+	deaf             bool // nothing more is read
 	ending           Ending
 	use              Use
 	since            time.Duration // it has had that use
@@ -67,22 +77,22 @@
 )
 
 // Dial begins a connection; Up or Down follows.
-func (l *Loop) Dial(addr string, within time.Duration, owner Owner) *Conn {
+func (s *Share) Dial(addr string, within time.Duration, owner Owner) *Conn {
 	ctx, abort := context.WithTimeout(context.Background(), within)
-	c := &Conn{loop: l, owner: owner, abort: abort}
-	l.sockets++
+	c := &Conn{loop: s.loop, share: s, owner: owner, abort: abort}
+	s.used++
 	go func() {
 		var d net.Dialer
 		nc, err := d.DialContext(ctx, "tcp", addr)
-		l.Put(note{Conn: c, net: nc, err: err, what: dialed})
+		s.loop.Put(note{Conn: c, net: nc, err: err, what: dialed})
 	}()
 	return c
 }
 
 // Adopt drives a connection that a listener has accepted.
-func (l *Loop) Adopt(nc net.Conn, owner Owner) *Conn {
-	l.sockets++
-	c := &Conn{loop: l, owner: owner, net: nc, abort: func() {}}
+func (s *Share) Adopt(nc net.Conn, owner Owner) *Conn {
+	s.used++
+	c := &Conn{loop: s.loop, share: s, owner: owner, net: nc, abort: func() {}}
 	c.begin()
 	return c
 }
@@ -92,7 +102,12 @@
 	c.toRead, c.toWrite = make(chan []byte, 1), make(chan []byte, 1)
 	go func() {
 		for b := range c.toRead {
-			n, err := c.net.Read(b)
+			n, err := 0, error(nil)
+			if b == nil {
+				err = c.swallow()
+			} else {
+				n, err = c.net.Read(b)
+			}
 			c.loop.Put(note{Conn: c, n: n, err: err, what: read})
 		}
 	}()
@@ -109,6 +124,18 @@
 	c.Resume()
 }
 
+// swallow reads until the connection ends, by its peer or by us.
+func (c *Conn) swallow() error {
+	b := gulps.Get().(*[gulp]byte)
+	defer gulps.Put(b)
+	for {
+		if _, err := c.net.Read(b[:]); err != nil {
+			return err
+		}
+		time.Sleep(rest)
+	}
+}
+
 // Take reads what a goroutine has left.
 func (n note) Take() {
 	c := n.Conn
@@ -118,12 +145,9 @@
 		return
 	case read:
 		c.reading = false
-		if n.n > 0 && !c.ended {
-			if c.In.Add(n.n); c.quits {
-				c.drain()
-			} else {
-				c.owner.Read(c)
-			}
+		if n.n > 0 && !c.ended && !c.quits {
+			c.In.Add(n.n)
+			c.owner.Read(c)
 		}
 	case wrote:
 		c.writing = false
@@ -133,7 +157,11 @@
 		}
 	}
 	if n.err != nil && !c.ended {
-		c.fail(n)
+		if c.quits && n.what == read && c.Unsent() > 0 {
+			c.deaf = true // a peer that has said all may still wait for the answer
+		} else {
+			c.fail(n)
+		}
 	}
 	if c.ended {
 		c.settle()
@@ -224,24 +252,24 @@
 		return
 	}
 	c.quits, c.owner = true, nil
-	c.drain()
 	if c.Resume(); c.Unsent() == 0 {
 		c.shut()
+		return
 	}
+	c.share.flushing[c] = struct{}{}
 }
 
 func (c *Conn) shut() {
+	delete(c.share.flushing, c)
 	if tcp, is := c.net.(*net.TCPConn); is {
 		tcp.CloseWrite()
 	}
-	c.Set(Idle) // nothing is owed on it any more
-	c.loop.After(lingers, func() { c.Close() })
-}
-
-func (c *Conn) drain() {
-	for c.In.Len() > 0 {
-		c.In.Drop(len(c.In.Bytes()))
+	c.Set(Done)
+	if c.deaf {
+		c.Close()
+		return
 	}
+	c.loop.After(lingers, func() { c.Close() })
 }
 
 // Write queues bytes; what the ring has no room for is kept by reference.
@@ -273,8 +301,10 @@
 	if c.ended || !c.up {
 		return
 	}
-	if b := c.In.Room(); !c.reading && len(b) > 0 {
-		c.reading = true
+	if b := c.In.Room(); !c.reading && !c.deaf && (len(b) > 0 || c.quits) {
+		if c.reading = true; c.quits {
+			b = nil // to be swallowed
+		}
 		c.toRead <- b
 	}
 	if b := c.out.Bytes(); !c.writing && len(b) > 0 {
@@ -288,49 +318,82 @@
 
 const (
 	Busy  Use = iota // an invocation, or an answer
-	Begun            // a request that is not whole yet, and so is not taken
+	Begun            // a request that is not whole yet, if any, and so is not taken
 	Idle             // nothing
+	Done             // nothing, and nothing is to be expected
 )
 
 // Set says what the connection is in use for; it is Busy to begin with.
 func (c *Conn) Set(u Use) {
-	if c.use == u {
+	if c.use == u || c.ended && u != Busy {
 		return
 	}
-	if at := slices.Index(c.loop.spare[c.use], c); at >= 0 {
-		c.loop.spare[c.use] = slices.Delete(c.loop.spare[c.use], at, at+1)
+	spare := &c.share.spare
+	if at := slices.Index(spare[c.use], c); at >= 0 {
+		spare[c.use] = slices.Delete(spare[c.use], at, at+1)
 	}
 	if c.use, c.since = u, c.loop.now; u != Busy {
-		c.loop.spare[u] = append(c.loop.spare[u], c)
+		spare[u] = append(spare[u], c)
 	}
 }
 
 func (c *Conn) release() {
 	c.Set(Busy)
-	c.loop.sockets--
-	if c.loop.Freed != nil {
-		c.loop.Freed()
+	delete(c.share.flushing, c)
+	c.share.used--
+	if c.share.Freed != nil {
+		c.share.Freed()
 	}
 }
 
+// Share is a part of the descriptors. Each side of the service has one of its own: a crowd on the one must not take
+// what the other lives on.
+type Share struct {
+	Freed func() // a descriptor is free again; may be nil
+
+	loop       *Loop
+	used, most int
+	spare      [Done + 1][]*Conn // by use, oldest first
+	flushing   map[*Conn]struct{}
+}
+
+// Share sets so many descriptors apart.
+func (l *Loop) Share(most int) *Share {
+	return &Share{loop: l, most: most, flushing: map[*Conn]struct{}{}}
+}
+
+// Flushed tells that no connection whose owner has done with it has bytes left to send: an end of the program before
+// that would cost its peer an answer.
+func (s *Share) Flushed() bool { return len(s.flushing) == 0 }
+
+// Used tells how many descriptors are in use.
+func (s *Share) Used() int { return s.used }
+
 // Spare tells whether one more descriptor can be had with at least keep left. To make room, connections of least use
-// end, the oldest first: half requests could hold all descriptors, and workers' news would not get in. Their owners
-// hear so as if the peer had closed them.
-func (l *Loop) Spare(keep int) bool {
-	for _, u := range []Use{Idle, Begun} {
-		for l.sockets+keep >= l.limit && len(l.spare[u]) > 0 {
-			c := l.spare[u][0]
-			if u == Begun && l.now < c.since+young {
-				break
-			}
-			owner := c.owner
-			if c.Close(); owner != nil {
-				owner.Down(c, Closed)
-			}
+// end, the oldest first: those that say nothing or send half requests could hold all descriptors, and nobody else would
+// get in. Their owners hear so as if the peer had closed them.
+func (s *Share) Spare(keep int) bool {
+	for s.used+keep >= s.most {
+		c := s.leastUseful()
+		if c == nil {
+			return false
+		}
+		owner := c.owner
+		if c.Close(); owner != nil {
+			owner.Down(c, Closed)
 		}
 	}
-	return l.sockets+keep < l.limit
+	return true
 }
 
-// Sockets tells how many descriptors are in use.
-func (l *Loop) Sockets() int { return l.sockets }
+func (s *Share) leastUseful() *Conn {
+	if begun := s.spare[Begun]; len(begun) > 0 && len(s.spare[Done]) == 0 && s.loop.now >= begun[0].since+young {
+		return begun[0]
+	}
+	for _, u := range []Use{Done, Idle, Begun} {
+		if len(s.spare[u]) > 0 {
+			return s.spare[u][0]
+		}
+	}
+	return nil
+}
--- a/internal/conn/ending.go
+++ b/internal/conn/ending.go
@@ -17,13 +17,14 @@
 	Crowded                  // no descriptor was left for it
 	Withheld                 // it came up when the worker was no longer to get anything
 	CutShort                 // it broke before the request's last byte was written
-	Closed                   // the peer closed it with the request unanswered
+	Closed                   // the peer closed it with the request unanswered, as workers do on what they can't read
 	Reset                    // the peer or the network reset it with the request unanswered
 	Stalled                  // the peer reads or sends nothing for too long
 	Garbage                  // what the peer sent can't be read
 	TurnedAway               // the answer says that the worker did not look at it
 	HandedBack               // taken, and given back unstarted
 	Faulted                  // the worker failed on it
+	Unfit                    // the worker says that the request itself is at fault
 	Lost                     // taken, and the process that had it died
 	Served                   // the worker's result is there
 	Expired                  // we stopped waiting at the client timeout
@@ -37,8 +38,8 @@
 var results = [...]dispatch.Result{
 	Open: dispatch.TimedOut, Refused: dispatch.Unreachable, NeverUp: dispatch.Unreachable,
 	Crowded: dispatch.Full, Withheld: dispatch.Unreachable, CutShort: dispatch.Unreachable,
-	Closed: dispatch.Broken, Reset: dispatch.Broken, Stalled: dispatch.TimedOut, Garbage: dispatch.Failed,
-	TurnedAway: dispatch.Full, HandedBack: dispatch.Full, Faulted: dispatch.Failed, Lost: dispatch.Broken,
+	Closed: dispatch.Unfit, Reset: dispatch.Broken, Stalled: dispatch.TimedOut, Garbage: dispatch.Failed,
+	TurnedAway: dispatch.Full, HandedBack: dispatch.Full, Faulted: dispatch.Failed, Unfit: dispatch.Unfit, Lost: dispatch.Broken,
 	Served: dispatch.Succeeded, Expired: dispatch.TimedOut, CalledOff: dispatch.Cancelled, Unsent: dispatch.NotSent,
 }
 
@@ -46,7 +47,7 @@
 func (e Ending) Result() dispatch.Result { return results[e] }
 
 var names = [...]string{"open", "refused", "never up", "crowded", "withheld", "cut short", "closed", "reset",
-	"stalled", "garbage", "turned away", "handed back", "faulted", "lost", "served", "expired", "called off", "unsent"}
+	"stalled", "garbage", "turned away", "handed back", "faulted", "unfit", "lost", "served", "expired", "called off", "unsent"}
 
 func (e Ending) String() string { return names[e] }
 
--- a/internal/conn/loop.go
+++ b/internal/conn/loop.go
@@ -18,17 +18,11 @@
 	rank   int
 	ended  bool
 
-	sockets, limit int               // descriptors of connections: in use, and at most
-	spare          [Idle + 1][]*Conn // by use, oldest first
-
-	Freed    func()          // a descriptor is free again; may be nil
 	Panicked func(cause any) // what was being done is dropped and the loop goes on; nil: it ends the program
 }
 
-// NewLoop starts the clock. limit is how many connections may have a descriptor at once.
-func NewLoop(start time.Time, limit int) *Loop {
-	return &Loop{inbox: make(chan Note, 1024), start: start, limit: limit}
-}
+// NewLoop starts the clock.
+func NewLoop(start time.Time) *Loop { return &Loop{inbox: make(chan Note, 1024), start: start} }
 
 // Now is the time since the start, read once for each note: all that a note causes happens at one moment.
 func (l *Loop) Now() time.Duration { return l.now }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -57,6 +57,7 @@
 	Calls  int // watches begun
 
 	loop          *conn.Loop
+	share         *conn.Share
 	addr          string
 	zones, kinds  names
 	start         time.Time
@@ -103,7 +104,7 @@
 
 // New makes a watcher that has not asked yet. start is when the loop's clock stood at zero.
 func New(loop *conn.Loop, addr string, zones, kinds []string, start time.Time) *Watcher {
-	return &Watcher{loop: loop, addr: addr, zones: index(zones), kinds: index(kinds), start: start,
+	return &Watcher{loop: loop, share: loop.Share(2), addr: addr, zones: index(zones), kinds: index(kinds), start: start,
 		ids: map[string]dispatch.WorkerID{}, taken: map[dispatch.WorkerID]bool{}}
 }
 
@@ -205,7 +206,7 @@
 func (w *Watcher) begin(rev uint64, word time.Duration) *watch {
 	w.Calls++
 	n := &watch{Watcher: w, addr: w.addr, rev: rev, parser: http1.Parser{Answers: true, Stream: true}}
-	n.c = w.loop.Dial(w.addr, connectIn, n)
+	n.c = w.share.Dial(w.addr, connectIn, n)
 	n.quiet = w.loop.After(word, n.silent)
 	return n
 }
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -215,6 +215,9 @@
 		}
 	}
 	m.Close = m.Close || version == "HTTP/1.0" && !keep
+	if version == "HTTP/1.0" && len(header["Transfer-Encoding"]) > 0 {
+		return bad(400, "chunks in HTTP/1.0") // others may not see them
+	}
 	return p.frame(m)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,7 +28,8 @@
 	Report                            Report
 	Operations, Tenants, Zones, Kinds []string // their names, by index
 	ConnIdle, ConnTimeout             time.Duration
-	LongestTimeout                    time.Duration // that any operation's clients have
+	Timeouts                          []time.Duration // of the operations' clients; 0: not told
+	LongestTimeout                    time.Duration
 }
 
 // site is the settings text, with the keys that have a meaning here.
@@ -135,6 +136,7 @@
 		}
 		d.Operations = append(d.Operations, op)
 		s.Operations = append(s.Operations, o.Name)
+		s.Timeouts = append(s.Timeouts, Span(o.ClientTimeout))
 		s.LongestTimeout = max(s.LongestTimeout, Span(o.ClientTimeout))
 	}
 	for _, t := range in.Tenants {
--- a/internal/workers/line.go
+++ b/internal/workers/line.go
@@ -36,13 +36,13 @@
 		}
 		return l
 	}
-	if !f.loop.Spare(f.keep) {
+	if !f.share.Spare(0) {
 		a.done(nil, conn.Crowded)
 		return nil
 	}
 	f.Counts.Dialled++
 	l := &line{fleet: f, worker: w, parser: http1.Parser{Answers: true}, ask: a}
-	l.c = f.loop.Dial(w.endpoint, f.site.ConnTimeout, l)
+	l.c = f.share.Dial(w.endpoint, f.site.ConnTimeout, l)
 	return l
 }
 
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -25,11 +25,11 @@
 
 // Invocation is one as it goes to a worker.
 type Invocation struct {
-	Inv                      dispatch.InvID
-	ID, Method, Target, Host string
-	Fields                   []http1.Field // go on unchanged
-	Body                     []byte
-	GivenUp                  time.Duration // when its client stops waiting
+	Inv                dispatch.InvID
+	ID, Method, Target string
+	Fields             []http1.Field // go on unchanged
+	Body               []byte
+	GivenUp            time.Duration // when its client stops waiting
 }
 
 // News is what a worker calls back about a forward.
@@ -55,7 +55,7 @@
 
 	loop     *conn.Loop
 	site     settings.Site
-	keep     int // descriptors left to clients and call-backs
+	share    *conn.Share
 	workers  map[dispatch.WorkerID]*worker
 	byUID    map[string]*worker
 	byNumber map[number]*forward
@@ -86,9 +86,9 @@
 	deadline *conn.Alarm
 }
 
-// NewFleet knows no workers yet. Of the descriptors, keep are not for it.
-func NewFleet(loop *conn.Loop, site settings.Site, keep int) *Fleet {
-	return &Fleet{loop: loop, site: site, keep: keep, workers: map[dispatch.WorkerID]*worker{},
+// NewFleet knows no workers yet.
+func NewFleet(loop *conn.Loop, site settings.Site, share *conn.Share) *Fleet {
+	return &Fleet{loop: loop, site: site, share: share, workers: map[dispatch.WorkerID]*worker{},
 		byUID: map[string]*worker{}, byNumber: map[number]*forward{}, byName: map[name]*forward{},
 		Counts: Counts{Ended: map[string]int{}, Answered: map[string]int{}}}
 }
@@ -144,7 +144,7 @@
 				return nil
 			}
 			left := max(0, inv.GivenUp-f.loop.Now()).Seconds()
-			return http1.Request(inv.Method, inv.Target, inv.Host, inv.Body,
+			return http1.Request(inv.Method, inv.Target, w.endpoint, inv.Body,
 				append(slices.Clip(inv.Fields), http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...)
 		},
 		done: func(m *http1.Message, e conn.Ending) {
@@ -171,6 +171,8 @@
 		return conn.Served
 	case (m.Status == 503 || m.Status == 504) && m.Header.Get("X-Rejected") == "1":
 		return conn.TurnedAway
+	case m.Status >= 400 && m.Status < 500:
+		return conn.Unfit
 	}
 	return conn.Faulted
 }
@@ -223,7 +225,7 @@
 
 func (f *Fleet) cancel(o *forward) {
 	f.Counts.Cancels++
-	request := http1.Request("DELETE", "/jobs/"+o.inv.ID, o.inv.Host, nil)
+	request := http1.Request("DELETE", "/jobs/"+o.inv.ID, o.worker.endpoint, nil)
 	a := &ask{request: func() []byte { return request }, done: func(*http1.Message, conn.Ending) {}}
 	if l := f.ask(o.worker, a); l != nil {
 		a.limit = f.loop.After(cancelWithin, l.drop)
