Take a broken connection for no word on a worker, and keep connections for less when they break

Ruled out: descriptors, CPU (0.07 of a core), the list. At fault: worker.finish set aside on one Broken or Unreachable, and released all that was out there; worker.answered took a probe that was reset at once for an unanswered one (Took near 0, so no sign of life was ever recent enough); line.park kept connections for 0.6 of the settings' idle time whatever happened to them; Closed on a kept connection told as Unfit. Now: ending Stale and result Dropped, which tell nothing; what fails at once is asked again at once and counts with the third; a break asks, three in a row set aside; Unreachable bars the pair for a span as Full does; connections are kept for half as long as the one that broke had stood, doubling every 5 s.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -313,10 +313,12 @@
 		w.missed, w.answers, w.fullTill = 0, w.answers+1, 0
 		w.report(a.Load)
 		w.comeBack(w.answers >= asideProbes)
-	case Full: // probes are capped, which tells nothing
+	case Full, Dropped: // probes are capped, connections break, which tells nothing
 	default:
 		w.answers, w.missed = 0, w.missed+1
-		if w.missed > 1 || w.lastSign < w.now-a.Took {
+		// What fails at once may be the network's doing: it is tried again at once before it counts.
+		w.recheck = a.Took < patience/2 && w.missed < 3
+		if !w.recheck && (w.missed > 1 || w.lastSign < w.now-a.Took) {
 			w.setAside("probes go unanswered", true)
 		}
 	}
@@ -357,7 +359,7 @@
 		e.end, w.lastSign = w.now, w.now
 		switch o.Result {
 		case Succeeded:
-			n.ran, w.fullTill = w.now-cmp.Or(e.began, e.sent), 0
+			n.ran, w.fullTill, w.breaks = w.now-cmp.Or(e.began, e.sent), 0, 0
 			w.paces.add(n.ran.Seconds() / e.work)
 			w.pace = w.paces.at(0.5)
 			w.comeBack(true)
@@ -365,8 +367,11 @@
 				w.asides = max(0, w.asides-1)
 			}
 		case Failed, Broken:
-			// One that fails fast shows the most free slots and would draw all work.
-			w.setAside("fails what it gets", false)
+			// One that fails fast shows the most free slots and would draw all work; the network breaks some.
+			w.recheck = o.Result == Broken
+			if w.breaks++; !w.recheck || w.breaks >= trialRuns {
+				w.setAside("fails what it gets", false)
+			}
 		case Cancelled:
 			// It may go on: its slots stay counted for as long as it would have run.
 			e.end = max(w.now, e.sent+seconds(e.work*max(0.5, w.pace)))
@@ -377,7 +382,10 @@
 			}
 		case Unreachable, NotSent:
 			if e.end, e.cost = e.sent, 0; o.Result == Unreachable {
-				w.setAside("can't be reached", true)
+				w.missed, w.recheck = w.missed+1, true
+				if w.missed > 1 || w.now-e.sent >= patience/2 {
+					w.setAside("can't be reached", true)
+				}
 			}
 		}
 	}
@@ -573,20 +581,6 @@
 	k.held = slices.DeleteFunc(k.held, func(other int) bool { return other == i })
 }
 
-// live counts the forwards that are out. first is the first that may have run.
-func (j *inv) live() (out int, first *tried) {
-	for f := range j.tries {
-		t := &j.tries[f]
-		if t.out {
-			out++
-		}
-		if first == nil && (t.out || t.ran) {
-			first = t
-		}
-	}
-	return out, first
-}
-
 func (k *desk) again(i int) {
 	j := &k.invs[i]
 	hope := slices.ContainsFunc(j.tries, func(t tried) bool { return t.out && !t.stuck })
@@ -682,7 +676,7 @@
 			paces.add(n.ran.Seconds() / j.work)
 			k.paces[c.kind], k.paced[c.kind] = paces, paces.at(0.5)
 		}
-	case Full:
+	case Full, Unreachable:
 		// One that turns a tenant away while its probes show room would draw its top invocation for ever.
 		span := min(max(2*k.refused[key][1], asideFirst/8), asideMost)
 		k.refused[key] = [2]time.Duration{k.now + span, span}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -141,7 +141,8 @@
 	Broken
 	Cancelled
 	NotSent
-	Unfit // the worker would not have it, whatever its load; it may have run
+	Unfit   // the worker would not have it, whatever its load; it may have run
+	Dropped // a kept connection broke, as they do; no word on the worker, and it may have run
 )
 
 // Outcome ends a forward. Closed: the client has its final answer.
@@ -411,6 +412,7 @@
 	paces                        samples
 	asides, wanted               int // how often it was set aside of late; successes still wanted on trial
 	answers, missed              int // probes in a row with and without an answer
+	breaks                       int // forwards in a row that broke
 }
 
 type operation struct {
@@ -478,3 +480,17 @@
 	}
 	return nil
 }
+
+// live counts the forwards that are out. first is the first that may have run.
+func (j *inv) live() (out int, first *tried) {
+	for f := range j.tries {
+		t := &j.tries[f]
+		if t.out {
+			out++
+		}
+		if first == nil && (t.out || t.ran) {
+			first = t
+		}
+	}
+	return out, first
+}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -380,7 +380,7 @@
 		}
 		owner := c.owner
 		if c.Close(); owner != nil {
-			owner.Down(c, Closed)
+			owner.Down(c, Crowded)
 		}
 	}
 	return true
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -78,6 +78,7 @@
 	// cut short 4
 	// closed 8
 	// reset 5
+	// stale 9
 	// stalled 3
 	// garbage 1
 	// turned away 2
@@ -229,10 +230,10 @@
 	}
 	// Output:
 	// true 4 [up] [up] [up] [up]
-	// true 3 [up] [up] [up] [up closed]
-	// true 2 [up] [up] [up closed] [up closed]
-	// true 1 [up closed] [up] [up closed] [up closed]
-	// false 1 [up closed] [up] [up closed] [up closed]
+	// true 3 [up] [up] [up] [up crowded]
+	// true 2 [up] [up] [up crowded] [up crowded]
+	// true 1 [up crowded] [up] [up crowded] [up crowded]
+	// false 1 [up crowded] [up] [up crowded] [up crowded]
 }
 
 // A peer that sends without end after it was refused gets its answer whole, costs the loop no turns, and ends in time.
--- a/internal/conn/ending.go
+++ b/internal/conn/ending.go
@@ -19,6 +19,7 @@
 	CutShort                 // it broke before the request's last byte was written
 	Closed                   // the peer closed it with the request unanswered, as workers do on what they can't read
 	Reset                    // the peer or the network reset it with the request unanswered
+	Stale                    // it was a kept one that ended at its next use, with no byte of an answer
 	Stalled                  // the peer reads or sends nothing for too long
 	Garbage                  // what the peer sent can't be read
 	TurnedAway               // the answer says that the worker did not look at it
@@ -38,7 +39,7 @@
 var results = [...]dispatch.Result{
 	Open: dispatch.TimedOut, Refused: dispatch.Unreachable, NeverUp: dispatch.Unreachable,
 	Crowded: dispatch.Full, Withheld: dispatch.Unreachable, CutShort: dispatch.Unreachable,
-	Closed: dispatch.Unfit, Reset: dispatch.Broken, Stalled: dispatch.TimedOut, Garbage: dispatch.Failed,
+	Closed: dispatch.Unfit, Reset: dispatch.Broken, Stale: dispatch.Dropped, Stalled: dispatch.TimedOut, Garbage: dispatch.Failed,
 	TurnedAway: dispatch.Full, HandedBack: dispatch.Full, Faulted: dispatch.Failed, Unfit: dispatch.Unfit, Lost: dispatch.Broken,
 	Served: dispatch.Succeeded, Expired: dispatch.TimedOut, CalledOff: dispatch.Cancelled, Unsent: dispatch.NotSent,
 }
@@ -47,7 +48,7 @@
 func (e Ending) Result() dispatch.Result { return results[e] }
 
 var names = [...]string{"open", "refused", "never up", "crowded", "withheld", "cut short", "closed", "reset",
-	"stalled", "garbage", "turned away", "handed back", "faulted", "unfit", "lost", "served", "expired", "called off", "unsent"}
+	"stale", "stalled", "garbage", "turned away", "handed back", "faulted", "unfit", "lost", "served", "expired", "called off", "unsent"}
 
 func (e Ending) String() string { return names[e] }
 
--- a/internal/workers/line.go
+++ b/internal/workers/line.go
@@ -1,6 +1,8 @@
 package workers
 
 import (
+	"time"
+
 	"stoatweir/internal/conn"
 	"stoatweir/internal/http1"
 )
@@ -21,15 +23,21 @@
 	ask    *ask           // nil: idle
 	early  *http1.Message // its answer, which came before all of the request had gone out
 	expiry *conn.Alarm    // of an idle one, or of waiting for that
+	kept   bool           // it has carried an answer before
+	parked time.Duration  // when it was last put by
 }
 
 // ask sends on the connection used last, as it is the least likely to have been closed by the worker, or opens one.
 // nil: it has failed at once, and done has been called.
 func (f *Fleet) ask(w *worker, a *ask) *line {
-	if n := len(w.idle); n > 0 {
+	for n := len(w.idle); n > 0; n = len(w.idle) {
 		l := w.idle[n-1]
 		w.idle = w.idle[:n-1]
 		l.expiry.Stop()
+		if f.loop.Now()-l.parked > f.keeps() {
+			l.c.Close()
+			continue
+		}
 		l.c.Set(conn.Busy)
 		if l.ask = a; !l.send() {
 			return nil
@@ -76,10 +84,15 @@
 
 func (l *line) park() {
 	l.expiry.Stop()
-	w := l.worker
+	w, f := l.worker, l.fleet
+	if f.keeps() < keepLeast {
+		l.c.Close()
+		return
+	}
 	w.idle = append(w.idle, l)
 	l.c.Set(conn.Idle)
-	l.expiry = l.fleet.loop.After(l.fleet.site.ConnIdle*6/10, func() {
+	l.kept, l.parked = true, f.loop.Now()
+	l.expiry = f.loop.After(f.keeps(), func() {
 		w.forget(l)
 		l.c.Close()
 	})
@@ -161,6 +174,15 @@
 }
 
 func (l *line) over(e conn.Ending) {
+	f := l.fleet
+	if l.kept && !l.parser.Started() && (e == conn.Closed || l.ask != nil && e == conn.Reset) {
+		// Whoever ends kept connections, the workers or the network, ends others too: those that stand as long go. A
+		// reset with nothing asked is a worker's death.
+		f.distrust(f.loop.Now() - l.parked)
+		if l.ask != nil {
+			e = conn.Stale
+		}
+	}
 	if l.ask != nil {
 		l.finish(nil, e)
 		return
@@ -168,6 +190,17 @@
 	l.worker.forget(l)
 }
 
+// keeps is how long connections are kept: a part of the time that the settings give, as a request must not cross the
+// worker's closing, and less while kept ones end before that.
+func (f *Fleet) keeps() time.Duration {
+	most := time.Duration(idlePart * float64(f.site.ConnIdle))
+	return min(most, f.lasts<<min(int((f.loop.Now()-f.broke)/keepAgain), 30))
+}
+
+func (f *Fleet) distrust(lasted time.Duration) {
+	f.lasts, f.broke = min(f.keeps(), max(lasted/2, keepLeast/2)), f.loop.Now()
+}
+
 // Down ends what was asked. An answer without a length ends with its connection.
 func (l *line) Down(_ *conn.Conn, e conn.Ending) {
 	if l.early != nil {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -20,6 +20,8 @@
 	cancelWithin = time.Second
 	idlePart     = 0.6 // of the workers' idle time: a request must not cross the worker's closing
 	afterNews    = time.Second
+	keepLeast    = 20 * time.Millisecond // a connection that lasts no longer is not kept at all
+	keepAgain    = 5 * time.Second       // after that much quiet connections are kept twice as long
 	earlyMost    = 50 * time.Millisecond // that an answer waits for the word that its request has gone out
 )
 
@@ -56,6 +58,8 @@
 	loop     *conn.Loop
 	site     settings.Site
 	share    *conn.Share
+	lasts    time.Duration // so long a kept connection may be trusted, as it seemed when one last broke
+	broke    time.Duration // that was then
 	workers  map[dispatch.WorkerID]*worker
 	byUID    map[string]*worker
 	byNumber map[number]*forward
@@ -88,7 +92,7 @@
 
 // NewFleet knows no workers yet.
 func NewFleet(loop *conn.Loop, site settings.Site, share *conn.Share) *Fleet {
-	return &Fleet{loop: loop, site: site, share: share, workers: map[dispatch.WorkerID]*worker{},
+	return &Fleet{loop: loop, site: site, share: share, lasts: site.ConnIdle, workers: map[dispatch.WorkerID]*worker{},
 		byUID: map[string]*worker{}, byNumber: map[number]*forward{}, byName: map[name]*forward{},
 		Counts: Counts{Ended: map[string]int{}, Answered: map[string]int{}}}
 }
