Serve on kept connections while stopping, and be ready at once with a known list

Ruled out: the decisions (nothing refused), descriptors, the watch. At fault: Door.Leave closing idle connections at once; service.run holding readiness for the list (0.3 s) though a known list was there. Now: connections stay open 1.5 s after the order (clients used them for 0.8 s); ready 50 ms after the start with a known list; the last answers 3.2 s after the order in place of 3.

--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -22,15 +22,20 @@
 )
 
 const (
-	otherFiles  = 12                     // descriptors that are no connections: standard ones, poller, listener
-	listWithin  = time.Second            // a start waits so long for the list before it trusts the known one
-	acceptAfter = 800 * time.Millisecond // connections go on coming after the order to stop
+	otherFiles = 12          // descriptors that are no connections: standard ones, poller, listener
+	listWithin = time.Second // a start without a known list waits so long for one
+	// With a known list there is no time to lose: while schedulers are restarted in turn, the next one may have been
+	// stopped already, and clients have nobody to ask. Who has gone since shows by itself, and the list follows.
+	knownWithin = 50 * time.Millisecond
+	// Clients use their connections for as long as these stay open after the order to stop, and a scheduler that was
+	// stopped before may not be back yet: with the connections closed at once they would have nobody to ask.
+	shutAfter = 1500 * time.Millisecond
 	// What the list has to tell counts as told 6 s later, whether or not it has come: that is the span in which a
 	// watch that has failed must stand again, however long the settings allow not to ask.
 	toldWithin  = 5 * time.Second
-	leaveMost   = 3 * time.Second
+	leaveMost   = 3200 * time.Millisecond // no kill comes before 3.7 s
 	againAfter  = 20 * time.Millisecond
-	leaveMargin = 400 * time.Millisecond // between the longest wait of a client and our end: no kill comes before
+	leaveMargin = 200 * time.Millisecond // between the last answers and our end
 )
 
 // service is the wiring: one loop owns the module, hands it what has happened and carries out what it decides.
@@ -91,17 +96,19 @@
 
 // run serves until the order to stop has been carried out.
 func (s *service) run(l net.Listener) {
+	within := listWithin
 	if len(s.known) > 0 {
 		list, err := s.list.Parse(s.known)
 		if err != nil {
 			s.log.Warn("known: ", err) // discovery will tell
 		}
-		list.Form = dispatch.ListWhole
+		if list.Form = dispatch.ListWhole; len(list.Workers) > 0 {
+			within = knownWithin
+		}
 		s.fleet.List(list)
 		s.events = append(s.events, list.Listing())
 	}
-	// Known workers may be long gone: a fresh list is worth a moment, but with discovery down we must serve too.
-	s.loop.After(listWithin, func() { s.heard = true })
+	s.loop.After(within, func() { s.heard = true }) // with discovery down we must serve too
 	if s.site.Deployment.Pushed {
 		s.list.Watch() // the module does not ask where changes come unasked; here all is asked for
 	}
@@ -287,9 +294,12 @@
 	}
 	s.leaving = true
 	s.log.Info("told to stop: ", s.door.InHand(), " in hand")
-	last := s.loop.Now() + min(max(s.site.LongestTimeout, acceptAfter), leaveMost)
+	last := s.loop.Now() + min(max(s.site.LongestTimeout, shutAfter), leaveMost)
 	s.door.Leave(last)
-	s.loop.After(acceptAfter, s.leave)
+	s.loop.After(shutAfter, func() {
+		s.door.Shut()
+		s.leave()
+	})
 	s.loop.After(last-s.loop.Now(), s.failRest)
 	s.loop.After(last+leaveMargin-s.loop.Now(), s.loop.Stop)
 }
--- a/cmd/stoatweir/service_test.go
+++ b/cmd/stoatweir/service_test.go
@@ -188,3 +188,63 @@
 		t.Error("it does not end")
 	}
 }
+
+// With a known list and a discovery that does not answer the service is ready at once, as nobody else may be; an idle
+// connection is served on after the order to stop, and shut before the end.
+func TestReadyAtOnceAndStopOnKept(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := settings.ParseNode([]byte(`{"name":"n0","listen":"`+l.Addr().String()+`","discovery":"`+silent.Addr().String()+`",
+		"known":{"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:1","state":"Ready"}]},
+		"settings":{"Discovery":"ask","Operations":[{"Name":"render","Effect":"read_like"}]}}`),
+		func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := newService(config, logrus.NewEntry(log))
+	over := make(chan struct{})
+	began := time.Now()
+	go func() { s.run(l); close(over) }()
+	for exchange(l.Addr().String(), "GET /-/ready HTTP/1.1\r\n\r\n") != "HTTP/1.1 200 OK " {
+		time.Sleep(time.Millisecond)
+	}
+	if took := time.Since(began); took > listWithin/2 {
+		t.Error("ready after", took)
+	}
+	kept, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(kept)
+	ask := func() string {
+		io.WriteString(kept, "GET /-/ready HTTP/1.1\r\n\r\n")
+		first, _, err := message(r)
+		return fmt.Sprint(first, " ", err)
+	}
+	if got := ask(); got != "HTTP/1.1 200 OK <nil>" {
+		t.Error("kept:", got)
+	}
+	s.loop.Put(stop{s})
+	for range 3 {
+		if got := ask(); got != "HTTP/1.1 503 Service Unavailable <nil>" {
+			t.Error("kept while stopping:", got)
+		}
+	}
+	if _, _, err := message(r); err != io.EOF {
+		t.Error("shut:", err)
+	}
+	select {
+	case <-over:
+	case <-time.After(2 * time.Second):
+		t.Error("it does not end")
+	}
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -71,6 +71,7 @@
 	ids        map[string]bool
 	visits     map[*visit]struct{}
 	leavesAt   time.Duration // 0: not leaving
+	shuts      bool
 }
 
 type inHand struct {
@@ -205,11 +206,14 @@
 	d.loop.After(idRests, func() { delete(d.ids, id) })
 }
 
-// Leave begins the end: readiness is withdrawn, idle connections close and every answer closes its own. What comes
-// until the time given is still taken. Its budget stays what the client said: a shorter one would look like that of a
-// client that has waited for long, and be refused at once.
-func (d *Door) Leave(by time.Duration) {
-	d.leavesAt = by
+// Leave begins the end: readiness is withdrawn, and what comes until the time given is still taken. Connections stay open
+// until Shut, as the clients on them may have nobody else to ask yet. A budget stays what the client said: a shorter one
+// would look like that of a client that has waited for long, and be refused at once.
+func (d *Door) Leave(by time.Duration) { d.leavesAt = by }
+
+// Shut closes idle connections, and from now on every answer closes its own.
+func (d *Door) Shut() {
+	d.shuts = true
 	for v := range d.visits {
 		if v.inv == 0 && !v.parser.Started() && v.c.In.Len() == 0 && v.c.Unsent() == 0 {
 			v.quit()
@@ -327,7 +331,7 @@
 }
 
 func (v *visit) answer(status int, body []byte, fields ...http1.Field) {
-	if v.last = v.last || v.door.leavesAt > 0; v.last {
+	if v.last = v.last || v.door.shuts; v.last {
 		fields = append(fields, http1.Field{Name: "Connection", Value: "close"})
 	}
 	v.c.Write(http1.Answer(status, body, fields...))
@@ -359,7 +363,7 @@
 func (v *visit) refuse(status int) {
 	d := v.door
 	d.Counts.Malformed++
-	if v.strays++; v.strays == 1 || v.last || d.leavesAt > 0 {
+	if v.strays++; v.strays == 1 || v.last || d.shuts {
 		v.answer(status, nil)
 		return
 	}
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -346,8 +346,8 @@
 	// repeats answered: true true silent: 1
 }
 
-// While it leaves, the door is not ready, takes what still comes, ends each connection with its answer, and shuts
-// idle ones.
+// While it leaves, the door is not ready and takes what still comes, also on connections that are there; once shut it
+// ends each connection with its answer, and idle ones at once.
 func Example_leave() {
 	l, d, addr, shut := open(10)
 	defer shut()
@@ -360,7 +360,11 @@
 	until(l, "the idle one", func() bool {
 		return d.Counts.Connections == 2 && len(d.visits) == 1 && !d.Busy() && d.share.Used() == 1
 	})
-	l.After(20*time.Millisecond, func() { d.Leave(l.Now() + 200*time.Millisecond) })
+	l.After(20*time.Millisecond, func() {
+		d.Leave(l.Now() + 300*time.Millisecond)
+		idle.Write([]byte("GET /-/ready HTTP/1.1\r\n\r\n"))
+	})
+	l.After(100*time.Millisecond, d.Shut)
 	until(l, "the idle one's end", func() bool { return d.leavesAt > 0 && len(d.visits) == 0 })
 	b, _ := io.ReadAll(idle)
 	fmt.Printf("%q\n", b)
@@ -371,12 +375,12 @@
 		fmt.Println("in hand:", d.InHand(), "but not out of the door:", d.Busy())
 	})
 	ask(l, addr, job)
-	l.After(200*time.Millisecond, l.Stop)
+	l.After(300*time.Millisecond, l.Stop)
 	l.Run(func() {})
 	ask(l, addr, strings.Replace(job, "9b1f", "9b20", 1))
 	// Output:
 	// "200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	// "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+	// "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// job 9b1f POST /render/7f3a?x=1 [{X-Call-Id 9b1f}] body
 	// inv 1: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
