Send elsewhere what has begun and is not heard of while its worker tells of others

Ruled out: silence of whole workers, descriptors, refusals for want of room (the throttled ones had one forward each, out until the end). At fault: worker.watch measured silence by the worker's last sign alone, so that others' signs hid the lost one.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -425,6 +425,11 @@
 		switch {
 		case e.end != 0 || e.lost || w.aside:
 			continue
+		case w.progress > 0 && e.began > 0 && w.lastSign > e.heard+w.progress+patience:
+			// The worker has told of others since this one's note was due: it has lost this one, or its answer.
+			e.lost = true
+			w.desk.put(stuck{e.inv, e.fwd})
+			continue
 		case w.tellsStart && e.began == 0:
 			if begin := e.sent + 2*beat; begin <= w.now && w.now < begin+beat {
 				w.figure(w.now, need{slots: -e.slots}) // it waits: nothing is free now, whatever the last report says
--- a/dispatch/trace_test.go
+++ b/dispatch/trace_test.go
@@ -538,3 +538,20 @@
 	// 100ms 3 to b
 	// 120ms worker a is set aside: probes go unanswered
 }
+
+// One that has begun and of which nothing is heard, while its worker tells of others, is lost there: it goes elsewhere.
+func Example_lostAnswer() {
+	dep := shop()
+	dep.TellsStart, dep.Progress = true, time.Second
+	p := start(dep, ready('a', 0), ready('b', 1))
+	p.at(10*ms, free('a', 3), free('b', 1), job(1, 0, 2), job(2, 0, 2))
+	p.at(20*ms, Sign{Inv: 1, Worker: id('a'), Started: true}, Sign{Inv: 2, Worker: id('a'), Started: true})
+	p.at(1020*ms, Sign{Inv: 2, Worker: id('a'), Done: 0.4})
+	p.until(2000 * ms)
+	p.at(2020*ms, Sign{Inv: 2, Worker: id('a'), Done: 0.8})
+	p.until(2100 * ms)
+	// Output:
+	// 10ms 1 to a
+	// 10ms 2 to a
+	// 2.02s 1 to b
+}
