--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -8,7 +8,7 @@
 //  2. stuck work: a further forward for what sits where no answer in time is to be expected.
 //  3. pace: a worker's running time for each unit of work; a slow one gets only what it can do in time.
 //  4. late figures: how often reports are made is learned, and old ones count for less.
-//  5. cold budget: our part of the work that a worker which has just started can take, or our chance of one.
+//  5. cold budget: a worker which has just started is shared by the few that a lot names, the same at all.
 //  6. giving up: what can't meet its latency objective any more is answered at once.
 package dispatch
 
@@ -31,7 +31,9 @@
 	figureCount, usualLike  = 8, 6                // reports kept, and that the pool's usual one stands for
 	lagTimes                = 3                   // spans between reports that one may be old when it comes
 	queueShare, sureFresh   = 0.5, 0.6            // what may queue on old figures; how far they hold for a clone
-	crowd                   = 16                  // schedulers, of all, that may take notice of a cold worker
+	crowd                   = 6                   // schedulers, of all, that take notice of a cold worker
+	coldPart                = 1.1                 // of a cold budget that those sharing it may spend by hints
+	coldRuns                = 1.5                 // usual runs that each part of it should hold
 	asideProbes, trialRuns  = 2, 3                // answers until it is on trial, successes until in full
 	unfitMost               = 2                   // workers that need not have an invocation until none is asked
 	hintLow, waitShare      = 1.4, 0.5            // work over hinted cost in the middle; slack for waiting
@@ -44,11 +46,14 @@
 // New starts an instance. The deployment is turned into the figures that decisions use and is not kept.
 func New(dep Deployment, seed int64) *Dispatcher {
 	d := &Dispatcher{workerAt: map[WorkerID]int{}, invAt: map[InvID]int{}, asks: !dep.Pushed,
-		within: dep.Rules.AskWithin, peers: float64(max(1, dep.Peers))}
+		within: dep.Rules.AskWithin, peers: float64(max(1, dep.Peers)), me: dep.Me}
 	d.house = house{rng: rand.New(rand.NewSource(seed)), probes: dep.Allowed.Probes, window: dep.Rules.Fall,
 		progress: dep.Progress, tellsStart: dep.TellsStart, coldFrom: dep.Rules.ColdFrom,
 		warmAfter: dep.Rules.WarmAfter}
 	d.inbox = inbox{house: &d.house, read: d.read}
+	if d.me < 0 { // not told: a lot of our own serves as well, with others by chance
+		d.me = d.rng.Intn(max(1, dep.Peers))
+	}
 	// The list service takes only so many calls at once: the first are spread, inside the stated time.
 	d.askAt = time.Duration(d.rng.Float64() * min(float64(d.within/2), (d.peers-1)*float64(beat)))
 	d.desk = desk{inbox: inbox{house: &d.house, read: d.desk.read}, door: d, zone: dep.Zone,
@@ -129,7 +134,7 @@
 	if p.worker == nil {
 		p.worker = &worker{inbox: inbox{house: &d.house}, desk: &d.desk.inbox, id: p.Worker, card: card{at: at}}
 		p.worker.inbox.read = p.worker.read
-		p.worker.put(listed{p.Entry, p.luck, p.luck*d.peers < crowd})
+		p.worker.put(listed{p.Entry, p.lot})
 	}
 	return p.worker
 }
@@ -187,26 +192,37 @@
 	p := &d.list[at]
 	starts := e.Restarted && e.Standing == Ready && (!p.Restarted || e.StartedAt > p.StartedAt)
 	if p.Entry, p.version = e, d.version; starts {
-		p.luck = d.rng.Float64()
+		p.lot = d.lot(e.Start)
 	}
 	if e.Standing == Ready && !p.inOrder {
 		n := d.rng.Intn(len(d.order) + 1)
 		d.order = append(d.order, at)
 		d.order[n], d.order[len(d.order)-1], p.inOrder = at, d.order[n], true
 	}
-	noticed := p.luck*d.peers < crowd
 	if p.worker != nil {
-		p.worker.put(listed{e, p.luck, noticed})
+		p.worker.put(listed{e, p.lot})
 	}
-	if starts && noticed && d.now > 0 && d.now < e.StartedAt+d.warmAfter {
+	if starts && p.lot < crowd && d.now > 0 && d.now < e.StartedAt+d.warmAfter {
 		d.meet(at).put(ask{view{run: 1}})
 	}
 }
 
+// lot is our place among all schedulers for one start of a worker, which each of them finds by itself: had each
+// drawn for itself, now none and now many would have come, and the budget would have to bear the many.
+func (d *Dispatcher) lot(start uint64) (before int) {
+	mine := mix(start, d.me)
+	for other := range int(d.peers) {
+		if other != d.me && mix(start, other) < mine {
+			before++
+		}
+	}
+	return before
+}
+
 func (w *worker) read(note any) {
 	switch n := note.(type) {
 	case listed:
-		w.luck, w.noticed = n.luck, n.noticed
+		w.lot = n.lot
 		w.follow(n.Entry)
 	case sent:
 		w.errands = append(w.errands, n.errand)
@@ -360,7 +376,7 @@
 		switch o.Result {
 		case Succeeded:
 			n.ran, w.fullTill, w.breaks = w.now-cmp.Or(e.began, e.sent), 0, 0
-			w.paces.add(n.ran.Seconds() / e.work)
+			w.paces.add(n.ran.Seconds() / e.work * w.warmth) // as it will be: how cold it is comes on top
 			w.pace = w.paces.at(0.5)
 			w.comeBack(true)
 			if w.wanted = max(0, w.wanted-1); w.wanted == 0 {
@@ -507,7 +523,7 @@
 	}
 	for len(k.pool) > int(k.size) {
 		oldest := k.board[k.pool[0]]
-		if k.pool = k.pool[1:]; oldest.noticed && oldest.warmth < 1 {
+		if k.pool = k.pool[1:]; oldest.lot < crowd && oldest.warmth < 1 {
 			k.door.list[oldest.at].worker.put(ask{k.all}) // we are one of few that may use it
 		}
 	}
@@ -576,7 +592,7 @@
 func (k *desk) hold(i int) {
 	j := &k.invs[i]
 	j.size = j.work * (1 + spreadTimes*k.ops[j.op].ratios.spread())
-	j.cost = j.work * (1 + k.ops[j.op].ratios.spread())
+	j.cost = j.work * (1 + k.ops[j.op].rough.spread())
 	j.rank = j.weight / j.size
 	at := sort.Search(len(k.held), func(n int) bool { return k.invs[k.held[n]].rank < j.rank })
 	k.held = slices.Insert(k.held, at, i)
@@ -676,7 +692,9 @@
 		o.sizes.add(n.ran.Seconds())
 		o.ratios.add(n.ran.Seconds() / j.work)
 		k.runs.add(n.ran.Seconds())
-		if c := k.board[t.at]; c.warmth == 1 {
+		c := k.board[t.at]
+		o.rough.add(n.ran.Seconds() / (j.work * c.pace))
+		if c.warmth == 1 {
 			paces := k.paces[c.kind]
 			paces.add(n.ran.Seconds() / j.work)
 			k.paces[c.kind], k.paced[c.kind] = paces, paces.at(0.5)
@@ -839,13 +857,18 @@
 		(c.warmth == 1 || k.warms(j, c))
 }
 
-// warms tells whether a cold worker may get an invocation if all others send too: it fits our even part of
-// its budget, or chance has made us one of the few that may send one in a span. These are so many that three
-// deviations more of them fit the budget, and their mean what the worker can do.
+// warms tells whether a cold worker may get an invocation if all others send too. All share its budget evenly where
+// an even part holds a few usual runs. Else those that a lot names share it, twice as many as could keep it busy with
+// all that comes to them: the parts of many would hold no heavy work, and most work is heavy.
 func (k *desk) warms(j *inv, c *card) bool {
-	budget := k.budget * max(1, c.size.slots) / c.pace
-	fit := budget / j.cost
-	senders := math.Pow(max(0, math.Sqrt(fit+1.25)-1.5), 2)
-	return k.peers*(c.spent+j.cost) <= budget ||
-		c.spent == 0 && c.luck*k.peers < min(senders, fit/k.multiple, crowd)
+	// Its first runs may be quick and it still unable to bear as many: what is usual for its kind sets the least pace.
+	able := max(1, c.size.slots) / max(c.pace, cmp.Or(k.paced[c.kind], 1)/c.warmth)
+	budget, run := k.budget*able, cmp.Or(k.runs.mean(), 1)
+	if budget >= coldRuns*run*k.peers {
+		return k.peers*(c.spent+j.cost) <= budget
+	}
+	// The work that we get a second, over all our time: a jump of the traffic at all must not name others in a moment.
+	ours := run * max(1, k.jobs) / max(reach, k.now).Seconds()
+	sharing := max(2, math.Floor(min(2*able/ours, coldPart*budget/(coldRuns*run))))
+	return float64(c.lot) < sharing && sharing*(c.spent+j.cost) <= coldPart*budget
 }
--- a/dispatch/trace_test.go
+++ b/dispatch/trace_test.go
@@ -442,32 +442,47 @@
 	// 250 workers, notes that they read for an invocation: 50
 }
 
-// With so many schedulers that an even part of a cold worker's budget is less than one invocation, chance lets as
-// few send as the budget bears, each once in a span; how many may grows as it warms.
+// With so many schedulers that an even part of a cold worker's budget is less than one invocation, a lot that all draw
+// alike names the few that share it; how many, and how much they send, grows as it warms. The budget of a span is what
+// the rule allows: twice what four slots do by then.
 func Example_coldCrowd() {
 	dep := shop()
 	dep.Peers = 1000
-	for _, age := range []time.Duration{time.Second, 10 * time.Second, 19 * time.Second} {
-		sent, most := 0, 0
-		for seed := range int64(dep.Peers) {
-			p := &play{d: New(dep, seed), went: map[InvID][]WorkerID{}, quiet: true}
+	for _, age := range []time.Duration{time.Second, 5 * time.Second, 10 * time.Second, 19 * time.Second} {
+		sent, most, work := 0, 0, 0.0
+		for me := range dep.Peers {
+			dep.Me = me
+			p := &play{d: New(dep, int64(me)), went: map[InvID][]WorkerID{}, quiet: true}
 			cold := ready('a', 0)
-			cold.Restarted, cold.StartedAt = true, ms
+			cold.Restarted, cold.StartedAt, cold.Start = true, 20*time.Second, 17
 			p.at(0, Listing{Form: ListWhole, Entries: []Entry{ready('b', 0)}})
-			p.at(age, Listing{Form: ListDelta, Entries: []Entry{cold}})
-			p.at(age+10*ms, free('a', 4), free('b', 0))
-			for n := range InvID(3) {
-				p.at(age+time.Duration(n+2)*10*ms, job(n+1, 2, 0.2))
+			n := InvID(0)
+			for n < 40 { // one every half second before, each done as hinted
+				n++
+				p.at(time.Duration(n)*500*ms, free('b', 4), job(n, 2, 0.2))
+				p.at(p.now+200*ms, p.end(n, 0, Succeeded))
+			}
+			p.at(20*time.Second+age, Listing{Form: ListDelta, Entries: []Entry{cold}})
+			p.at(p.now+10*ms, free('a', 4), free('b', 0))
+			p.lines = nil
+			for range 8 {
+				n++
+				p.at(p.now+10*ms, job(n, 2, 0.2))
 			}
 			here := strings.Count(strings.Join(p.lines, "\n"), "to a")
-			sent, most = sent+here, max(most, here)
+			work += 0.2 * float64(here)
+			if most = max(most, here); here > 0 {
+				sent++
+			}
 		}
-		fmt.Printf("%v after its start: %d of 1000 send, at most %d each\n", age, sent, most)
+		fmt.Printf("%v after its start: %d of 1000 send, at most %d each, %.1f of a budget of %.1f\n", age, sent, most,
+			work, 2*4*(0.1+0.9*age.Seconds()/20))
 	}
 	// Output:
-	// 1s after its start: 0 of 1000 send, at most 0 each
-	// 10s after its start: 11 of 1000 send, at most 1 each
-	// 19s after its start: 14 of 1000 send, at most 1 each
+	// 1s after its start: 0 of 1000 send, at most 0 each, 0.0 of a budget of 1.2
+	// 5s after its start: 7 of 1000 send, at most 2 each, 2.8 of a budget of 2.6
+	// 10s after its start: 15 of 1000 send, at most 1 each, 3.0 of a budget of 4.4
+	// 19s after its start: 28 of 1000 send, at most 1 each, 5.6 of a budget of 7.6
 }
 
 // The first calls for the list are spread over the schedulers, inside the time after which they count as told.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	pcg "math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -45,6 +46,7 @@
 // Deployment is what an instance is told once, at its start.
 type Deployment struct {
 	Peers       int // schedulers in all, this one included
+	Me          int // its number among them, from 0; -1: not told
 	Zone        int
 	Operations  []Operation
 	Tenants     []Tenant
@@ -193,13 +195,15 @@
 	Entries []Entry
 }
 
-// Entry is one worker of a list. Restarted says that StartedAt is known; else it started long ago.
+// Entry is one worker of a list. Restarted says that StartedAt is known; else it started long ago. Start names this
+// start of this worker by a number that is the same at every scheduler.
 type Entry struct {
 	Worker           WorkerID
 	Zone, Kind, Cell int
 	Standing         Standing
 	Restarted        bool
 	StartedAt        time.Duration
+	Start            uint64
 }
 
 // Action is something that the caller is to do, in the order given.
@@ -332,10 +336,9 @@
 		kind, zone, cell int
 		view
 	}
-	listed struct { // door to worker: its entry, and whether we are one of those that notice it while cold
+	listed struct { // door to worker: its entry, and our place among those that may use it while it is cold
 		Entry
-		luck    float64
-		noticed bool
+		lot int
 	}
 )
 
@@ -344,7 +347,7 @@
 type place struct {
 	Entry
 	worker  *worker // nil: never met
-	luck    float64 // drawn at each of its starts
+	lot     int     // how many schedulers come before us while it is cold
 	inOrder bool
 	version int // the last list that named it
 }
@@ -379,6 +382,7 @@
 	invAt                 map[InvID]int
 	asks, follows         bool
 	turn, failed, version int
+	me                    int
 	peers                 float64
 	wakeAt, within, askAt time.Duration // askAt: when to ask for the list again if nothing has come by then
 }
@@ -386,12 +390,13 @@
 type card struct {
 	at, zone, kind, cell     int
 	open, trial, known, full bool
-	busy, asking, noticed    bool
+	busy, asking             bool
+	lot                      int           // schedulers before us while it is cold
 	seen                     time.Duration // when it was last asked: the pool is those asked last
 	room, last, size         need          // estimate, last figure, the most seen free
 	service                  float64       // running time by its reports
 	mine, fresh, pace        float64       // how far the last figure holds; running time over hinted cost
-	warmth, spent, luck      float64       // of a cold worker: its part of capacity, our work of late
+	warmth, spent            float64       // of a cold worker: its part of capacity, our work of late
 }
 
 // worker is the actor that keeps one worker's book.
@@ -423,6 +428,7 @@
 	scope             Scope
 	kind              int
 	ratios, sizes     samples       // running time over hinted cost, and running time, of finishes
+	rough             samples       // the first less the worker's pace: how far hints are off
 	most              time.Duration // the longest a client has been ready to wait
 }
 
@@ -494,3 +500,8 @@
 	}
 	return out, first
 }
+
+// mix draws a number for one scheduler and one start, which all schedulers draw alike.
+func mix(start uint64, scheduler int) uint64 {
+	return pcg.NewPCG(start, uint64(scheduler)).Uint64()
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"net/netip"
 	"strconv"
 	"time"
@@ -151,6 +152,7 @@
 		if t.BootMS != 0 {
 			e.Restarted = true
 			e.StartedAt = time.UnixMilli(int64(t.BootMS)).Sub(w.start)
+			e.Start = start(t.UID, t.BootMS)
 		}
 		list.Workers = append(list.Workers, Worker{t.UID, t.Endpoint, e})
 	}
@@ -158,6 +160,13 @@
 	return list, nil
 }
 
+// start names one start of a worker alike at all schedulers: its address may differ, and so does its time here.
+func start(uid string, bootMS float64) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%s %.0f", uid, bootMS)
+	return h.Sum64()
+}
+
 // id gives a worker one name for good: its first address, and where another one has had that, the address with the
 // uid. An address can pass from one worker to its successor, and a worker can change its own; what the module has
 // learned of the one must not be held against the other.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,7 @@
 	ExcessBilledValue *float64
 	MyZone            int
 	PeersTotal        int
+	MyNumber          *int
 	Dcs, Kinds        []string
 	Operations        []struct {
 		Name, DedupScope, Effect                                                               string
@@ -95,7 +96,7 @@
 	}
 	d := &s.Deployment
 	*d = dispatch.Deployment{
-		Peers: in.PeersTotal, Zone: in.MyZone, ExcessValue: 1, Pushed: in.Discovery == "push",
+		Peers: in.PeersTotal, Me: -1, Zone: in.MyZone, ExcessValue: 1, Pushed: in.Discovery == "push",
 		TellsStart: in.FamilyInfo.TellsStart, Progress: Span(in.FamilyInfo.Progress),
 		ProbePrice: in.Prices.Probe,
 		Allowed: dispatch.Allowances{
@@ -106,6 +107,9 @@
 			FallMultiple: in.Rules.FallMultiple, Fall: Span(in.Rules.Fall),
 		},
 	}
+	if in.MyNumber != nil {
+		d.Me = max(-1, *in.MyNumber)
+	}
 	if in.Limits.SecondCopies {
 		d.Allowed.MaxOut = 2
 	}
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -65,7 +65,7 @@
 	// 3 dispatch.Arrival{Inv:1265522267820484 Operation:0 Tenant:0 Budget:240ms Hint:0.012 Slots:2 Memory:0}
 	// 3 dispatch.Due{}
 	// 5 dispatch.Withdrawn{Inv:1135035544447769}
-	// 3 dispatch.Listing{Form:2 Entries:[{Worker:10.18.74.7:5003 Zone:0 Kind:0 Cell:0 Standing:1 Restarted:false StartedAt:0s} {Worker:10.144.17.242:5044 Zone:1 Kind:0 Cell:0 Standing:1 Restarted:true StartedAt:-2.31225s}]}
+	// 3 dispatch.Listing{Form:2 Entries:[{Worker:10.18.74.7:5003 Zone:0 Kind:0 Cell:0 Standing:1 Restarted:false StartedAt:0s Start:0} {Worker:10.144.17.242:5044 Zone:1 Kind:0 Cell:0 Standing:1 Restarted:true StartedAt:-2.31225s Start:1270578496506761185}]}
 	// 3 dispatch.Outcome{Inv:1265522267820484 Worker:10.18.74.7:5003 Forward:0 Result:0 Closed:true Load:<nil>}
 	// 1 load {FreeSlots:3 FreeMemory:1e+09 Waiting:4 InHand:0 Busy:0 ServiceTime:0 Rate:0 Errors:0}
 	// 1 dispatch.Answer{Worker:10.18.74.7:5003 Result:0 Took:1ms Load:<nil>}
--- a/internal/simwire/words.go
+++ b/internal/simwire/words.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"hash/fnv"
 	"net/netip"
 	"time"
 
@@ -171,6 +172,9 @@
 		c.f32()
 		if readyAt := c.f64(); readyAt != 0 {
 			e.Restarted, e.StartedAt = true, base.Since(readyAt)
+			h := fnv.New64a()
+			fmt.Fprint(h, e.Worker, readyAt)
+			e.Start = h.Sum64()
 		}
 		list.Entries = append(list.Entries, e)
 	}
