--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -29,11 +29,11 @@
 	few, reach              = 16, 8 * time.Second // a pool's first workers; it holds what probes go round in
 	probeFloor, probePoints = 3, 0.002            // probes a second; points of the result that more may cost
 	figureCount, usualLike  = 8, 6                // reports kept, and that the pool's usual one stands for
-	lagTimes                = 3                   // spans between reports that one may be old when it comes
+	lagTimes                = 2                   // spans between reports that one may be old when it comes
 	queueShare, sureFresh   = 0.5, 0.6            // what may queue on old figures; how far they hold for a clone
 	crowd                   = 6                   // schedulers, of all, that take notice of a cold worker
-	coldPart                = 1.1                 // of a cold budget that those sharing it may spend by hints
-	coldRuns                = 1.5                 // usual runs that each part of it should hold
+	coldPart                = 1.25                // of a cold budget that those sharing it may spend by hints
+	coldRuns, fewest        = 1.5, 5              // usual runs that each part should hold; that share it at least
 	asideProbes, trialRuns  = 2, 3                // answers until it is on trial, successes until in full
 	unfitMost               = 2                   // workers that need not have an invocation until none is asked
 	hintLow, waitShare      = 1.4, 0.5            // work over hinted cost in the middle; slack for waiting
@@ -720,8 +720,7 @@
 	for _, i := range k.held {
 		total += k.invs[i].weight
 	}
-	asking := k.all.lag < seconds(k.all.run/2) && // else answers are too old to be worth a beat
-		slices.ContainsFunc(k.pool, func(at int) bool { return k.board[at].asking })
+	asking := slices.ContainsFunc(k.pool, func(at int) bool { return k.board[at].asking })
 	for n := 0; n < len(k.held); {
 		i := k.held[n]
 		j := &k.invs[i]
@@ -869,6 +868,6 @@
 	}
 	// The work that we get a second, over all our time: a jump of the traffic at all must not name others in a moment.
 	ours := run * max(1, k.jobs) / max(reach, k.now).Seconds()
-	sharing := max(2, math.Floor(min(2*able/ours, coldPart*budget/(coldRuns*run))))
+	sharing := max(fewest, math.Floor(min(2*able/ours, coldPart*budget/(coldRuns*run))))
 	return float64(c.lot) < sharing && sharing*(c.spent+j.cost) <= coldPart*budget
 }
--- a/dispatch/play_test.go
+++ b/dispatch/play_test.go
@@ -16,6 +16,7 @@
 	now    time.Duration
 	probes bool     // print these too
 	quiet  bool     // gather lines instead of printing them
+	waits  bool     // the answers to probes are on their way; else they are lost at once
 	lines  []string // gathered since they were last told
 	went   map[InvID][]WorkerID
 }
@@ -50,7 +51,11 @@
 // at hands events over at a time and prints the answers; step lets time pass in beats.
 func (p *play) at(when time.Duration, events ...Event) {
 	p.now = when
+	var lost []Event
 	for _, action := range p.d.Handle(when, events) {
+		if probe, is := action.(Probe); is && !p.waits {
+			lost = append(lost, Answer{Worker: probe.Worker, Result: Dropped})
+		}
 		line := p.line(action)
 		if line != "" && p.quiet {
 			p.lines = append(p.lines, line)
@@ -58,6 +63,9 @@
 			fmt.Printf("%v %s\n", when, line)
 		}
 	}
+	if len(lost) > 0 {
+		p.at(when, lost...)
+	}
 }
 
 // frequent has answers in a row show that reports are made often, so that young figures count.
