Let heavy work to cold workers: half of the budget for the first named, hints by their mean

Parts were even among five, and an invocation counted with one deviation of what hints leave out, two to three times its work (dispatch.go, warms and hold). Now the first of the lot has half of the budget, the others share the other half, and work counts by the mean of what hints leave out, as a budget holds several. Where all share a cold worker evenly, 0.7 of the budget bounds them instead.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,6 +33,7 @@
 	queueShare, sureFresh   = 0.5, 0.6            // what may queue on old figures; how far they hold for a clone
 	crowd                   = 6                   // schedulers, of all, that take notice of a cold worker
 	coldPart                = 1.25                // of a cold budget that those sharing it may spend by hints
+	evenPart                = 0.7                 // the same where all share it
 	coldRuns, fewest        = 1.5, 5              // usual runs that each part should hold; that share it at least
 	asideProbes, trialRuns  = 2, 3                // answers until it is on trial, successes until in full
 	unfitMost               = 2                   // workers that need not have an invocation until none is asked
@@ -592,7 +593,7 @@
 func (k *desk) hold(i int) {
 	j := &k.invs[i]
 	j.size = j.work * (1 + spreadTimes*k.ops[j.op].ratios.spread())
-	j.cost = j.work * (1 + k.ops[j.op].rough.spread())
+	j.cost = j.work * max(1, k.ops[j.op].rough.mean())
 	j.rank = j.weight / j.size
 	at := sort.Search(len(k.held), func(n int) bool { return k.invs[k.held[n]].rank < j.rank })
 	k.held = slices.Insert(k.held, at, i)
@@ -857,17 +858,21 @@
 }
 
 // warms tells whether a cold worker may get an invocation if all others send too. All share its budget evenly where
-// an even part holds a few usual runs. Else those that a lot names share it, twice as many as could keep it busy with
-// all that comes to them: the parts of many would hold no heavy work, and most work is heavy.
+// an even part holds a few usual runs. Else a lot names those that share it: the first has half, as most work is heavy
+// and even parts would hold none of it; the others, twice as many as could keep it busy, share the other half.
 func (k *desk) warms(j *inv, c *card) bool {
 	// Its first runs may be quick and it still unable to bear as many: what is usual for its kind sets the least pace.
 	able := max(1, c.size.slots) / max(c.pace, cmp.Or(k.paced[c.kind], 1)/c.warmth)
 	budget, run := k.budget*able, cmp.Or(k.runs.mean(), 1)
 	if budget >= coldRuns*run*k.peers {
-		return k.peers*(c.spent+j.cost) <= budget
+		return k.peers*(c.spent+j.cost) <= evenPart*budget
 	}
 	// The work that we get a second, over all our time: a jump of the traffic at all must not name others in a moment.
 	ours := run * max(1, k.jobs) / max(reach, k.now).Seconds()
-	sharing := max(fewest, math.Floor(min(2*able/ours, coldPart*budget/(coldRuns*run))))
-	return float64(c.lot) < sharing && sharing*(c.spent+j.cost) <= coldPart*budget
+	sharing := max(fewest, math.Floor(min(2*able/ours, 1+coldPart*budget/(2*coldRuns*run))))
+	part := coldPart * budget / 2 // of the first named, which may send heavy work; the others share the other half
+	if c.lot > 0 {
+		part /= max(1, min(sharing, k.peers)-1)
+	}
+	return float64(c.lot) < sharing && c.spent+j.cost <= part
 }
