Take what is free as a rule from the last figures anywhere; two firsts for a cold worker

The pools of those schedulers had grown to 36 to 60 workers, which three probes a second go round in 12 to 20 s, so most figures were from the overload before, and these stood for what is usual too (dispatch.go, tell and learn). A count of 2,538 sends with starts told: a figure under 0.1 s old with two free slots queues in 25 to 32 of 100, one of any value over a second old in 54, so the value of an old one tells nothing. Now what is usual is the middle of the last 16 figures that any warm worker brought, a worker's old figures count by their difference from it, and one slot counts as free as a rule while 15% of forwards start at once. Of the work that passed cold workers by, 1,400 of 1,900 units came to schedulers that were first for none: two firsts with a third of the budget each instead of one with half, the bound of all together as before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 	sampleCount             = 16                  // measurements are the last few samples
 	few, reach              = 16, 8 * time.Second // a pool's first workers; it holds what probes go round in
 	probeFloor, probePoints = 3, 0.002            // probes a second; points of the result that more may cost
+	startPart               = 0.15                // of our forwards that start at once while there is room somewhere
 	figureCount, usualLike  = 8, 6                // reports kept, and that the pool's usual one stands for
 	lagTimes                = 2                   // spans between reports that one may be old when it comes
 	queueShare, sureFresh   = 0.5, 0.6            // what may queue on old figures; how far they hold for a clone
@@ -238,6 +239,9 @@
 		case Sign:
 			if f := w.find(n.inv, e.Forward); f != nil {
 				if w.lastSign, f.heard = w.now, w.now; e.Started {
+					if f.began == 0 && w.now < f.sent+2*beat {
+						w.desk.put(begun{1})
+					}
 					f.began = w.now
 				} else if f.began == 0 { // its first progress note
 					f.began = w.now - w.progress
@@ -272,15 +276,13 @@
 	if n := len(w.figures); n > 0 {
 		// A crowd chases the worker that looked emptiest: the older its last figure, the more the mean of the last
 		// few counts, and the fewer there are, the more what is usual anywhere.
-		w.last = w.figures[n-1]
 		w.fresh = math.Exp(-max(0, w.now-w.figureAt).Seconds() / max(w.all.run, 0.1))
 		w.room = w.last.plus(-1, mine).plus(w.fresh-1, w.last)
-		each := (1 - w.fresh) / float64(n+usualLike)
+		w.room = w.room.plus(1-w.fresh, w.all.usual)
 		for _, f := range w.figures {
-			w.room = w.room.plus(each, f)
+			w.room = w.room.plus((1-w.fresh)/float64(n+usualLike), f)
 		}
-		w.room = w.room.plus(each*usualLike, w.all.usual)
-		w.room.slots = math.Round(w.room.slots)
+		w.room.slots = math.Round(min(w.room.slots, w.size.slots))
 	}
 	if age := w.now - w.startedAt; w.cold && age < w.warmAfter {
 		w.warmth = w.coldFrom + (1-w.coldFrom)*max(0, age.Seconds()/w.warmAfter.Seconds())
@@ -366,8 +368,13 @@
 
 func (w *worker) figure(at time.Duration, free need) {
 	open := free.plus(1, w.held(at))
-	w.figures, w.figureAt = append(w.figures, need{min(open.slots, w.size.slots), open.memory}), at
+	w.last, w.figureAt = need{min(open.slots, w.size.slots), open.memory}, at
+	// By how much it lies off what is usual: when all have filled or emptied, its old figures tell no more than that.
+	w.figures = append(w.figures, w.last.plus(-1, w.all.usual))
 	w.figures = w.figures[max(0, len(w.figures)-figureCount):]
+	if w.warmth == 1 {
+		w.desk.put(w.last)
+	}
 }
 
 func (w *worker) finish(n about, o Outcome) {
@@ -449,6 +456,7 @@
 			continue
 		case w.tellsStart && e.began == 0:
 			if begin := e.sent + 2*beat; begin <= w.now && w.now < begin+beat {
+				w.desk.put(begun{0})
 				w.figure(w.now, need{slots: -e.slots}) // it waits: nothing is free now, whatever the last report says
 			}
 		case w.progress > 0:
@@ -472,6 +480,11 @@
 	switch n := note.(type) {
 	case card:
 		k.post(n)
+	case begun:
+		k.starts.add(n.atOnce)
+	case need:
+		k.slots.add(n.slots)
+		k.memory.add(n.memory)
 	case pair:
 		k.gaps.add(n.gap)
 		k.changes.add(n.changed)
@@ -561,16 +574,19 @@
 }
 
 func (k *desk) learn() { // of the middle, as the queue of one that hangs would drag a mean down
-	var slots, memory, service samples
+	var service samples
 	for _, at := range k.pool {
 		if c := k.board[at]; c.known {
-			slots.add(c.last.slots)
-			memory.add(c.last.memory)
 			service.add(c.service)
 		}
 	}
+	// Few reports a second can't show where room is: as long as some of what we send starts at once, it is somewhere.
+	slots := k.slots.at(0.5)
+	if k.starts.mean() > startPart {
+		slots = max(1, slots)
+	}
 	k.learned, k.all = k.now, view{run: cmp.Or(k.runs.mean(), 1), learn: len(k.gaps) < sampleCount/2,
-		usual: need{slots.at(0.5), memory.at(0.5)}, service: service.at(0.5),
+		usual: need{slots, k.memory.at(0.5)}, service: service.at(0.5),
 		lag: seconds(lagTimes * (patience.Seconds() + k.gaps.sum()) / (1 + k.changes.sum()))}
 }
 
@@ -858,8 +874,8 @@
 }
 
 // warms tells whether a cold worker may get an invocation if all others send too. All share its budget evenly where
-// an even part holds a few usual runs. Else a lot names those that share it: the first has half, as most work is heavy
-// and even parts would hold none of it; the others, twice as many as could keep it busy, share the other half.
+// an even part holds a few usual runs. Else a lot names those that share it: two have a third each, as most work is
+// heavy and even parts would hold none of it; others, twice as many as could keep it busy, share the last third.
 func (k *desk) warms(j *inv, c *card) bool {
 	// Its first runs may be quick and it still unable to bear as many: what is usual for its kind sets the least pace.
 	able := max(1, c.size.slots) / max(c.pace, cmp.Or(k.paced[c.kind], 1)/c.warmth)
@@ -869,10 +885,10 @@
 	}
 	// The work that we get a second, over all our time: a jump of the traffic at all must not name others in a moment.
 	ours := run * max(1, k.jobs) / max(reach, k.now).Seconds()
-	sharing := max(fewest, math.Floor(min(2*able/ours, 1+coldPart*budget/(2*coldRuns*run))))
-	part := coldPart * budget / 2 // of the first named, which may send heavy work; the others share the other half
-	if c.lot > 0 {
-		part /= max(1, min(sharing, k.peers)-1)
+	sharing := max(fewest, math.Floor(min(2*able/ours, 2+coldPart*budget/(3*coldRuns*run))))
+	part := coldPart * budget / 3 // of each of the first two, which may send heavy work; the others share the last third
+	if c.lot > 1 {
+		part /= max(1, min(sharing, k.peers)-2)
 	}
 	return float64(c.lot) < sharing && c.spent+j.cost <= part
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -323,6 +323,7 @@
 	freed  struct{ id InvID }             // desk to door: nothing more will be heard of it
 	sent   struct{ errand }               // desk to worker
 	stuck  struct{ inv, fwd int }         // worker to desk: no answer is to be expected soon
+	begun  struct{ atOnce float64 }       // worker to desk: whether a forward has started within two beats
 	pair   struct{ gap, changed float64 } // worker to desk: two answers in a row, with one report or two
 	view   struct {                       // desk to worker, while it matters: what was learned of all workers
 		lag     time.Duration // how old a report is when it comes
@@ -412,7 +413,7 @@
 	figureAt, reportAt           time.Duration
 	all                          view
 	errands                      []errand
-	figures                      []need // what was free or ours at the last few reports, the last at figureAt
+	figures                      []need // free or ours at the last few reports, less what was usual; last at figureAt
 	load                         Load   // the last report as it came
 	paces                        samples
 	asides, wanted               int // how often it was set aside of late; successes still wanted on trial
@@ -461,6 +462,7 @@
 	paced                           map[int]float64 // their middle
 	paces                           map[int]samples // of warm workers of a kind
 	runs, gaps, changes             samples         // running times; spans between answers, new reports in them
+	slots, memory, starts           samples         // the last figures of any warm worker; forwards that started at once
 	all                             view
 	size, each, credit              float64       // of the pool; probes an invocation pays for, and in hand
 	creditAt, viewed, left, learned time.Duration // left: when the last forward or first question did
