--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -28,14 +28,14 @@
 	sampleCount             = 16                  // measurements are the last few samples
 	few, reach              = 16, 8 * time.Second // a pool's first workers; it holds what probes go round in
 	probeFloor, probePoints = 3, 0.002            // probes a second; points of the result that more may cost
-	startPart               = 0.15                // of our forwards that start at once while there is room somewhere
+	startPart               = 0.15                // of our forwards that start at once if there is room somewhere
 	figureCount, usualLike  = 8, 6                // reports kept, and that the pool's usual one stands for
 	lagTimes                = 2                   // spans between reports that one may be old when it comes
 	queueShare, sureFresh   = 0.5, 0.6            // what may queue on old figures; how far they hold for a clone
 	crowd                   = 6                   // schedulers, of all, that take notice of a cold worker
 	coldPart                = 1.25                // of a cold budget that those sharing it may spend by hints
 	evenPart                = 0.7                 // the same where all share it
-	coldRuns, fewest        = 1.5, 5              // usual runs that each part should hold; that share it at least
+	coldRuns, fewest        = 1.5, 5              // usual runs that a part should hold; that share it at least
 	asideProbes, trialRuns  = 2, 3                // answers until it is on trial, successes until in full
 	unfitMost               = 2                   // workers that need not have an invocation until none is asked
 	hintLow, waitShare      = 1.4, 0.5            // work over hinted cost in the middle; slack for waiting
@@ -209,8 +209,8 @@
 	}
 }
 
-// lot is our place among all schedulers for one start of a worker, which each of them finds by itself: had each
-// drawn for itself, now none and now many would have come, and the budget would have to bear the many.
+// lot is our place among all schedulers for one start of a worker, which each finds by itself: had each drawn for
+// itself, now none and now many would have come, and the budget would have to bear the many.
 func (d *Dispatcher) lot(start uint64) (before int) {
 	mine := mix(start, d.me)
 	for other := range int(d.peers) {
@@ -369,7 +369,7 @@
 func (w *worker) figure(at time.Duration, free need) {
 	open := free.plus(1, w.held(at))
 	w.last, w.figureAt = need{min(open.slots, w.size.slots), open.memory}, at
-	// By how much it lies off what is usual: when all have filled or emptied, its old figures tell no more than that.
+	// By how much it lies off what is usual: when all have filled or emptied, old figures tell no more.
 	w.figures = append(w.figures, w.last.plus(-1, w.all.usual))
 	w.figures = w.figures[max(0, len(w.figures)-figureCount):]
 	if w.warmth == 1 {
@@ -580,7 +580,7 @@
 			service.add(c.service)
 		}
 	}
-	// Few reports a second can't show where room is: as long as some of what we send starts at once, it is somewhere.
+	// Few reports a second can't show where room is: while some of what we send starts at once, it is somewhere.
 	slots := k.slots.at(0.5)
 	if k.starts.mean() > startPart {
 		slots = max(1, slots)
@@ -873,20 +873,20 @@
 		(c.warmth == 1 || k.warms(j, c))
 }
 
-// warms tells whether a cold worker may get an invocation if all others send too. All share its budget evenly where
-// an even part holds a few usual runs. Else a lot names those that share it: two have a third each, as most work is
-// heavy and even parts would hold none of it; others, twice as many as could keep it busy, share the last third.
+// warms tells whether a cold worker may get an invocation if all others send too. All share its budget evenly
+// where an even part holds a few usual runs. Else a lot names those that share it: two have a third each, as most
+// work is heavy and even parts would hold none of it; others, twice as many as could keep it busy, the last third.
 func (k *desk) warms(j *inv, c *card) bool {
-	// Its first runs may be quick and it still unable to bear as many: what is usual for its kind sets the least pace.
+	// Its first runs may be quick and it still unable to bear as many: its kind's usual pace is the least.
 	able := max(1, c.size.slots) / max(c.pace, cmp.Or(k.paced[c.kind], 1)/c.warmth)
 	budget, run := k.budget*able, cmp.Or(k.runs.mean(), 1)
 	if budget >= coldRuns*run*k.peers {
 		return k.peers*(c.spent+j.cost) <= evenPart*budget
 	}
-	// The work that we get a second, over all our time: a jump of the traffic at all must not name others in a moment.
+	// The work that we get a second, over all our time: a jump of the traffic must not name others in a moment.
 	ours := run * max(1, k.jobs) / max(reach, k.now).Seconds()
 	sharing := max(fewest, math.Floor(min(2*able/ours, 2+coldPart*budget/(3*coldRuns*run))))
-	part := coldPart * budget / 3 // of each of the first two, which may send heavy work; the others share the last third
+	part := coldPart * budget / 3 // of each of the first two; the others share the last third
 	if c.lot > 1 {
 		part /= max(1, min(sharing, k.peers)-2)
 	}
