--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -28,7 +28,7 @@
 	sampleCount             = 16                  // measurements are the last few samples
 	few, reach              = 16, 8 * time.Second // a pool's first workers; it holds what probes go round in
 	probeFloor, probePoints = 3, 0.002            // probes a second; points of the result that more may cost
-	startPart               = 0.15                // of our forwards that start at once if there is room somewhere
+	startPart               = 0.15                // of our forwards that start at once if room is somewhere
 	figureCount, usualLike  = 8, 6                // reports kept, and that the pool's usual one stands for
 	lagTimes                = 2                   // spans between reports that one may be old when it comes
 	queueShare, sureFresh   = 0.5, 0.6            // what may queue on old figures; how far they hold for a clone
@@ -209,8 +209,8 @@
 	}
 }
 
-// lot is our place among all schedulers for one start of a worker, which each finds by itself: had each drawn for
-// itself, now none and now many would have come, and the budget would have to bear the many.
+// lot is our place among all schedulers for one start of a worker, which each finds by itself: had each drawn
+// for itself, now none and now many would have come, and the budget would have to bear the many.
 func (d *Dispatcher) lot(start uint64) (before int) {
 	mine := mix(start, d.me)
 	for other := range int(d.peers) {
@@ -874,8 +874,8 @@
 }
 
 // warms tells whether a cold worker may get an invocation if all others send too. All share its budget evenly
-// where an even part holds a few usual runs. Else a lot names those that share it: two have a third each, as most
-// work is heavy and even parts would hold none of it; others, twice as many as could keep it busy, the last third.
+// where an even part holds a few usual runs. Else a lot names those that share it: two have a third each, as
+// most work is heavy and even parts would hold none; others, twice as many as keep it busy, the last third.
 func (k *desk) warms(j *inv, c *card) bool {
 	// Its first runs may be quick and it still unable to bear as many: its kind's usual pace is the least.
 	able := max(1, c.size.slots) / max(c.pace, cmp.Or(k.paced[c.kind], 1)/c.warmth)
