--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -42,7 +42,6 @@
 
 	beat, patience       = 20 * time.Millisecond, 300 * time.Millisecond // time alone decides; a sign is due
 	asideFirst, awaySpan = 500 * time.Millisecond, time.Second           // set aside; throttled
-	doubtSpan            = 2 * time.Second                               // between workers of a zone that fall silent
 	asideMost            = 8 * time.Second
 )
 
@@ -239,7 +238,6 @@
 		switch e := n.event.(type) {
 		case Sign:
 			if f := w.find(n.inv, e.Forward); f != nil {
-				w.alive = w.now
 				if w.lastSign, f.heard = w.now, w.now; e.Started {
 					if f.began == 0 && w.now < f.sent+2*beat {
 						w.desk.put(begun{1})
@@ -331,7 +329,7 @@
 	w.asking = false
 	switch a.Result {
 	case Succeeded:
-		w.missed, w.answers, w.fullTill, w.alive = 0, w.answers+1, 0, w.now
+		w.missed, w.answers, w.fullTill = 0, w.answers+1, 0
 		w.report(a.Load)
 		w.comeBack(w.answers >= asideProbes)
 	case Full, Dropped: // probes are capped, connections break, which tells nothing
@@ -385,7 +383,7 @@
 		e.end, w.lastSign = w.now, w.now
 		switch o.Result {
 		case Succeeded:
-			n.ran, w.fullTill, w.breaks, w.alive = w.now-cmp.Or(e.began, e.sent), 0, 0, w.now
+			n.ran, w.fullTill, w.breaks = w.now-cmp.Or(e.began, e.sent), 0, 0
 			w.paces.add(n.ran.Seconds() / e.work * w.warmth) // as it will be: how cold it is comes on top
 			w.pace = w.paces.at(0.5)
 			w.comeBack(true)
@@ -433,7 +431,6 @@
 		w.aside, w.answers, w.asides = true, 0, min(w.asides+1, 5)
 	}
 	if silent {
-		w.silent = w.now
 		w.release(w.now)
 	}
 }
@@ -528,7 +525,6 @@
 		old = &card{seen: -1}
 		k.board[n.at] = old
 	}
-	k.suspect(n, old)
 	joins, leaves := n.open && (n.seen > old.seen || !old.open), !n.open && old.open
 	if n.busy && !old.busy && !slices.Contains(k.busy, n.at) {
 		k.busy = append(k.busy, n.at)
@@ -547,26 +543,6 @@
 	}
 }
 
-// suspect doubts a whole zone when a second worker of it falls silent soon after another, with no sign of anybody
-// there in between: learned worker by worker, a lost zone costs an invocation and a time-out for each. Any sign ends
-// the doubt, and a worker's own sign the doubt about it, so that a healthy zone loses no more than one answer's time.
-func (k *desk) suspect(n card, old *card) {
-	for n.zone >= len(k.zones) {
-		k.zones = append(k.zones, zone{by: -1})
-	}
-	z := &k.zones[n.zone]
-	z.alive = max(z.alive, n.alive)
-	if n.silent <= old.silent {
-		return
-	}
-	if z.by >= 0 && z.by != n.at && n.silent-z.silent < doubtSpan && z.alive < z.silent && z.doubt <= z.alive {
-		z.doubt = n.silent
-		k.do(Log{fmt.Sprintf("zone %d is in doubt: nothing is heard from there", n.zone)})
-		k.door.put(wanted{-1, n.zone, -1, k.all})
-	}
-	z.by, z.silent = n.at, n.silent
-}
-
 // watch lets only those workers look at the time that matter now: its cost must not grow with the fleet.
 func (k *desk) watch() {
 	rate := probeFloor + k.each*float64(len(k.arrivals))/max(0.1, k.now.Seconds()-k.arrivals[0])
@@ -891,8 +867,7 @@
 }
 
 func (k *desk) fits(j *inv, at int, c *card) bool {
-	z := &k.zones[c.zone]
-	return (z.alive >= z.doubt || c.alive >= z.doubt) && (!c.known || c.room.memory >= j.memory) && k.refused[[3]int{at, j.op, j.tenant}][0] <= k.now &&
+	return (!c.known || c.room.memory >= j.memory) && k.refused[[3]int{at, j.op, j.tenant}][0] <= k.now &&
 		!(c.trial && (c.mine > 0 || k.ops[j.op].effect == NonIdempotent)) &&
 		!slices.ContainsFunc(j.tries, func(t tried) bool { return t.at == at && (t.out || t.ran) }) &&
 		(c.warmth == 1 || k.warms(j, c))
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -394,19 +394,12 @@
 	busy, asking             bool
 	lot                      int           // schedulers before us while it is cold
 	seen                     time.Duration // when it was last asked: the pool is those asked last
-	alive, silent            time.Duration // its last sign, and when it was last found silent
 	room, last, size         need          // estimate, last figure, the most seen free
 	service                  float64       // running time by its reports
 	mine, fresh, pace        float64       // how far the last figure holds; running time over hinted cost
 	warmth, spent            float64       // of a cold worker: its part of capacity, our work of late
 }
 
-// zone is what the silence of its workers tells of it.
-type zone struct {
-	alive, silent, doubt time.Duration // the last sign from there; a worker fell silent; all are in doubt since then
-	by                   int           // the one that fell silent last; -1: none
-}
-
 // worker is the actor that keeps one worker's book.
 type worker struct {
 	inbox
@@ -463,7 +456,6 @@
 	budget, peers, multiple         float64 // of a cold worker's capacity, what all schedulers may send
 	ops                             []operation
 	invs                            []inv
-	zones                           []zone
 	held                            []int           // by rank, highest first
 	board                           []*card         // nil: never met
 	pool, busy, spare               []int           // asked last is last; with work of ours or aside; of invs
