Tell each throttled client its own time to come back, up to what settings allow

Now chance sets it, half to the whole of what was told before. The same for set-asides was tried and not kept: they begin at different moments by themselves, and the stated least span would have grown.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -665,7 +665,8 @@
 		return
 	case j.unfit < unfitMost && (first == nil || o.effect == Idempotent ||
 		o.effect == Deduplicated && o.scope == ScopeAll):
-		k.do(Throttled{j.id, k.after})
+		// Those that many schedulers turn away at one moment would all come back at one moment.
+		k.do(Throttled{j.id, k.after/2 + time.Duration(k.rng.Int63n(int64(k.after)/2+1))})
 	default:
 		k.do(Errored{j.id})
 	}
--- a/dispatch/trace_test.go
+++ b/dispatch/trace_test.go
@@ -209,8 +209,8 @@
 	// Output:
 	// 10ms 1 to a
 	// 510ms 3 to a
-	// 16s 4 throttled, back after 1s
-	// 16s 2 throttled, back after 1s
+	// 16s 4 throttled, back after 500ms to 1s
+	// 16s 2 throttled, back after 500ms to 1s
 	// 16s 5 to a
 }
 
@@ -316,6 +316,23 @@
 	// d counts as having 2 free
 }
 
+// Many schedulers turn clients away at one moment; each tells its own time to come back, up to what is allowed.
+func Example_adviceHasChance() {
+	told := map[time.Duration]bool{}
+	for seed := range int64(80) {
+		d := New(shop(), seed)
+		d.Handle(0, []Event{Listing{Form: ListWhole}, job(1, 2, 0.1)})
+		for _, action := range d.Handle(time.Second, []Event{Due{}}) {
+			if a, is := action.(Throttled); is && a.After >= 500*ms && a.After <= time.Second {
+				told[a.After.Round(10*ms)] = true
+			}
+		}
+	}
+	fmt.Println("80 schedulers tell more than 30 times, 0.5 to 1 s:", len(told) > 30)
+	// Output:
+	// 80 schedulers tell more than 30 times, 0.5 to 1 s: true
+}
+
 // One that turns a tenant's operation away while its probes show room keeps its place for all else.
 func Example_refusedTenant() {
 	p := start(shop(), ready('a', 0), ready('b', 1))
@@ -349,9 +366,9 @@
 	p.at(15*time.Second, p.end(5, 0, TimedOut), Withdrawn{Inv: 5}, Outcome{Inv: 99, Worker: id('z')})
 	// Output:
 	// 10ms 1 to a
-	// 420ms 2 throttled, back after 1s
+	// 420ms 2 throttled, back after 500ms to 1s
 	// 1.21s 1 cancels forward 0
-	// 1.22s 3 throttled, back after 1s
+	// 1.22s 3 throttled, back after 500ms to 1s
 	// 9s 5 to a
 	// 14s 5 errored
 }
@@ -365,8 +382,8 @@
 	p.at(20*ms, again)
 	p.until(600 * ms)
 	// Output:
-	// 220ms 2 throttled, back after 1s
-	// 420ms 1 throttled, back after 1s
+	// 220ms 2 throttled, back after 500ms to 1s
+	// 420ms 1 throttled, back after 500ms to 1s
 }
 
 // The list is asked for again after a failure, sooner than we would count as told, and not in step with others.
