Notice the cold workers of the known list at a scheduler's own start

In the test 25 instead of 19 of 80 ask such a worker as they start, the six that the lot names beside those whom chance sets.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -204,7 +204,7 @@
 	if p.worker != nil {
 		p.worker.put(listed{e, p.lot})
 	}
-	if starts && p.lot < crowd && d.now > 0 && d.now < e.StartedAt+d.warmAfter {
+	if starts && p.lot < crowd && d.now < e.StartedAt+d.warmAfter { // also at our own start: who knew has forgotten
 		d.meet(at).put(ask{view{run: 1}})
 	}
 }
--- a/dispatch/trace_test.go
+++ b/dispatch/trace_test.go
@@ -316,6 +316,32 @@
 	// d counts as having 2 free
 }
 
+// Schedulers that were killed have forgotten which cold workers they share: those that the lot names for one of the
+// known list ask it at once, or nobody uses it until chance brings it into their pools.
+func Example_coldKnownAtStart() {
+	dep := shop()
+	dep.Peers = 80
+	cold := ready('a', 0)
+	cold.Restarted, cold.StartedAt, cold.Start = true, -2*time.Second, 17
+	known := append(fleet(60), cold)
+	for _, warmed := range []bool{false, true} {
+		if warmed {
+			known[60].StartedAt = -time.Minute
+		}
+		asked := 0
+		for dep.Me = range dep.Peers {
+			d := New(dep, int64(dep.Me))
+			if slices.Contains(d.Handle(0, []Event{Listing{Form: ListWhole, Entries: known}}), Action(Probe{cold.Worker})) {
+				asked++
+			}
+		}
+		fmt.Printf("warm %v: asked by %d of 80 as they start\n", warmed, asked)
+	}
+	// Output:
+	// warm false: asked by 25 of 80 as they start
+	// warm true: asked by 19 of 80 as they start
+}
+
 // Many schedulers turn clients away at one moment; each tells its own time to come back, up to what is allowed.
 func Example_adviceHasChance() {
 	told := map[time.Duration]bool{}
