--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -40,8 +40,8 @@
 	unfitMost               = 2                   // workers that need not have an invocation until none is asked
 	hintLow, waitShare      = 1.4, 0.5            // work over hinted cost in the middle; slack for waiting
 
-	beat, patience       = 20 * time.Millisecond, 300 * time.Millisecond // time alone decides; a sign is due
-	asideFirst, awaySpan = 500 * time.Millisecond, time.Second           // set aside; throttled
+	beat, patience       = 20 * time.Millisecond, 300 * time.Millisecond   // time alone decides; a sign is due
+	asideFirst, awaySpan = 500 * time.Millisecond, 1250 * time.Millisecond // set aside; throttled, at most
 	asideMost            = 8 * time.Second
 )
 
@@ -204,7 +204,7 @@
 	if p.worker != nil {
 		p.worker.put(listed{e, p.lot})
 	}
-	if starts && p.lot < crowd && d.now < e.StartedAt+d.warmAfter { // also at our own start: who knew has forgotten
+	if starts && p.lot < crowd && d.now < e.StartedAt+d.warmAfter { // at our start too: who knew has forgotten
 		d.meet(at).put(ask{view{run: 1}})
 	}
 }
@@ -666,7 +666,7 @@
 	case j.unfit < unfitMost && (first == nil || o.effect == Idempotent ||
 		o.effect == Deduplicated && o.scope == ScopeAll):
 		// Those that many schedulers turn away at one moment would all come back at one moment.
-		k.do(Throttled{j.id, k.after/2 + time.Duration(k.rng.Int63n(int64(k.after)/2+1))})
+		k.do(Throttled{j.id, k.after*3/5 + time.Duration(k.rng.Int63n(int64(k.after)*2/5+1))})
 	default:
 		k.do(Errored{j.id})
 	}
