Count a scheduler's own number for how many there are where fewer are told

Need: with the number of schedulers told ten times too small, 50 of 1,000 counted as the first five for a cold worker (dispatch.go, New). A number beyond what is told proves it wrong; now 22 do. Nothing changes where the number is right. A test of a known list of which nothing is left beside it: what was sent there goes on where that is harmless.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -48,7 +48,8 @@
 // New starts an instance. The deployment is turned into the figures that decisions use and is not kept.
 func New(dep Deployment, seed int64) *Dispatcher {
 	d := &Dispatcher{workerAt: map[WorkerID]int{}, invAt: map[InvID]int{}, asks: !dep.Pushed,
-		within: dep.Rules.AskWithin, peers: float64(max(1, dep.Peers)), me: dep.Me}
+		within: dep.Rules.AskWithin, me: dep.Me,
+		peers: float64(max(1, dep.Peers, dep.Me+1))} // told too few, those with higher numbers know better
 	d.house = house{rng: rand.New(rand.NewSource(seed)), probes: dep.Allowed.Probes, window: dep.Rules.Fall,
 		progress: dep.Progress, tellsStart: dep.TellsStart, coldFrom: dep.Rules.ColdFrom,
 		warmAfter: dep.Rules.WarmAfter}
--- a/dispatch/trace_test.go
+++ b/dispatch/trace_test.go
@@ -342,6 +342,43 @@
 	// warm true: asked by 19 of 80 as they start
 }
 
+// The number of schedulers is told ten times too small: a number beyond it proves that, and counts for it. Named for
+// one cold worker should be five of a thousand; without that, fifty would be.
+func Example_toldTooFew() {
+	dep := shop()
+	for _, dep.Peers = range []int{1000, 100, 10000} {
+		named := 0
+		for dep.Me = range 1000 {
+			if d := New(dep, 1); d.lot(17) < fewest {
+				named++
+			}
+		}
+		fmt.Printf("told %d: %d of 1000 are among the first five\n", dep.Peers, named)
+	}
+	// Output:
+	// told 1000: 5 of 1000 are among the first five
+	// told 100: 22 of 1000 are among the first five
+	// told 10000: 0 of 1000 are among the first five
+}
+
+// Of the known list nothing is left, and the first list from discovery names only workers that nobody knew: what was
+// sent to the old ones goes on where that does no harm, and nothing more goes to them.
+func Example_knownAllGone() {
+	p := start(shop(), ready('a', 0), ready('b', 0))
+	p.at(10*ms, free('a', 4), free('b', 4), job(1, 0, 0.2), job(2, 2, 0.2))
+	p.at(100*ms, Listing{Form: ListWhole, Entries: []Entry{ready('c', 0)}})
+	p.at(110*ms, free('c', 4), job(3, 2, 0.2))
+	p.at(150*ms, Listing{Form: ListWhole})
+	p.at(160*ms, job(4, 2, 0.2))
+	p.until(700 * ms)
+	// Output:
+	// 10ms 2 to b
+	// 10ms 1 to a
+	// 100ms 1 to c
+	// 110ms 3 to c
+	// 480ms 4 throttled, back after 750ms to 1.25s
+}
+
 // Many schedulers turn clients away at one moment; each tells its own time to come back, up to what is allowed.
 func Example_adviceHasChance() {
 	told := map[time.Duration]bool{}
