Ask for the whole list when changes go back to an older version

A delta of an older version than the known one was applied as if it were news, and its version taken over (discovery.go, take): a worker that has gone could come back to the list, with no line in the log. Test with a scripted discovery that fails without it.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -318,7 +318,12 @@
 			}
 			continue
 		}
+		before := n.Watcher.rev
 		list, err := n.Parse(line)
+		if now := n.Watcher.rev; err == nil && n != n.next && list.Form == dispatch.ListDelta && now < before {
+			// Whoever tells this knows less than we do: its changes could bring back a worker that has gone.
+			err = fmt.Errorf("changes go back from version %d to %d", before, now)
+		}
 		if err != nil {
 			// The next watch is to bring the whole list: from here on changes would apply to an unknown one.
 			n.Watcher.rev = 0
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -118,6 +118,38 @@
 	// form 0:
 }
 
+// Changes of an older version than the known one are not taken: the whole list is asked for, which may be of any version.
+func Example_versionsGoBack() {
+	addr, shut := serve("discovery", `{"rev":9,"all":true,"targets":[]}`,
+		`{"rev":4,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:9001","az":"a","state":"Ready"}]}`)
+	defer shut()
+	loop, w := watcher(addr)
+	asked := 0
+	w.Told = func(list List) {
+		show(list)
+		if list.Form != dispatch.ListFailed {
+			return
+		}
+		if asked++; asked == 2 {
+			loop.Stop()
+			return
+		}
+		w.Watch()
+	}
+	w.Watch()
+	loop.After(10*time.Second, func() { panic("the watch hangs") })
+	loop.Run(func() {})
+	// Output:
+	// discovery is asked: GET /api/targets?stream=1&index=0 HTTP/1.1
+	// form 2:
+	// failed: changes go back from version 9 to 4
+	// form 0:
+	// discovery is asked: GET /api/targets?stream=1&index=0 HTTP/1.1
+	// form 2:
+	// failed: changes go back from version 9 to 4
+	// form 0:
+}
+
 // A watch that says nothing for longer than its empty lines allow is given up, in time for another to tell.
 func Example_silence() {
 	l, err := net.Listen("tcp", "127.0.0.1:0") // the backlog takes the connection in, and nobody ever answers
