--- a/cmd/stoatweir/main.go
+++ b/cmd/stoatweir/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"stoatweir/internal/admin"
 	"stoatweir/internal/settings"
 )
 
@@ -48,7 +49,14 @@
 	s := newService(node, log.WithField("node", node.Name))
 	listener, err := listen(node.Listen)
 	if err != nil {
-		log.WithError(err).Fatal("can't listen")
+		log.WithError(err).Fatal("listen: can't listen")
+	}
+	if node.Admin != "" {
+		operators, err := listen(node.Admin)
+		if err != nil {
+			log.WithError(err).Fatal("admin: can't listen")
+		}
+		go admin.New(s.calls(), operatorsMost).Serve(operators)
 	}
 	out := newLines(os.Stderr)
 	log.SetOutput(out)
@@ -56,7 +64,7 @@
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	go func() {
 		for range signals {
-			s.loop.Put(stop{s})
+			s.loop.Order(order{s, s.stop})
 		}
 	}()
 	go s.reload(reloads, func() (settings.Node, error) { return settings.ReadNode(os.Getenv) })
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -17,6 +18,7 @@
 	"stoatweir/internal/clients"
 	"stoatweir/internal/conn"
 	"stoatweir/internal/discovery"
+	"stoatweir/internal/life"
 	"stoatweir/internal/settings"
 	"stoatweir/internal/workers"
 )
@@ -27,15 +29,11 @@
 	// With a known list there is no time to lose: while schedulers are restarted in turn, the next one may have been
 	// stopped already, and clients have nobody to ask. Who has gone since shows by itself, and the list follows.
 	knownWithin = 50 * time.Millisecond
-	// Clients use their connections for as long as these stay open after the order to stop, and a scheduler that was
-	// stopped before may not be back yet: with the connections closed at once they would have nobody to ask.
-	shutAfter = 1500 * time.Millisecond
 	// What the list has to tell counts as told 6 s later, whether or not it has come: that is the span in which a
 	// watch that has failed must stand again, however long the settings allow not to ask.
-	toldWithin  = 5 * time.Second
-	leaveMost   = 3200 * time.Millisecond // no kill comes before 3.7 s
-	againAfter  = 20 * time.Millisecond
-	leaveMargin = 200 * time.Millisecond // between the last answers and our end
+	toldWithin = 5 * time.Second
+	againAfter = 20 * time.Millisecond
+	leaveLook  = 10 * time.Millisecond
 )
 
 // service is the wiring: one loop owns the module, hands it what has happened and carries out what it decides.
@@ -54,12 +52,14 @@
 	events []dispatch.Event
 	invs   map[dispatch.InvID]*tracked
 	wake   *conn.Alarm
+	steps  *conn.Alarm   // of the life cycle
 	last   time.Duration // when the module was last asked
 
-	heard, leaving bool // heard: discovery has told of the list
-	seed           int64
-	panics         int
-	waits, thinks  *hdrhistogram.Histogram
+	life          life.Cycle
+	stands        atomic.Uint32 // the state of life, for operators
+	seed          int64
+	panics        int
+	waits, thinks *hdrhistogram.Histogram
 }
 
 // tracked is an invocation while the module may still speak of it.
@@ -73,6 +73,9 @@
 	rules := &node.Site.Deployment.Rules
 	rules.AskWithin = min(rules.AskWithin, toldWithin)
 	sockets := node.Sockets - otherFiles
+	if node.Admin != "" {
+		sockets -= operatorsMost + 2 // their listener, and the one that is let in before another goes
+	}
 	loop := conn.NewLoop(start)
 	// Clients and news have five eighths of the descriptors, four for invocations in hand; workers have the rest.
 	ours, theirs := loop.Share(sockets-sockets*3/8), loop.Share(sockets*3/8)
@@ -87,7 +90,7 @@
 	s.door.Took = func(j *workers.Invocation) { s.invs[j.Inv] = &tracked{Invocation: j} }
 	s.door.News, s.door.Report = s.fleet.Take, s.report
 	s.door.Served = func(t time.Duration) { s.waits.RecordValue(t.Microseconds()) }
-	s.door.Ready = func() bool { return s.heard }
+	s.door.Manner = func() life.Manner { return s.life.At(loop.Now()) }
 	s.fleet.Deliver, s.fleet.Owed = s.door.Deliver, s.door.Owed
 	s.list.Told, loop.Panicked = s.told, s.panicked
 	s.list.Failed = func(why string) { log.Warn("the watch of the list has failed: ", why) }
@@ -108,7 +111,7 @@
 		s.fleet.List(list)
 		s.events = append(s.events, list.Listing())
 	}
-	s.loop.After(within, func() { s.heard = true }) // with discovery down we must serve too
+	s.loop.After(within, s.knows) // with discovery down we must serve too
 	if s.site.Deployment.Pushed {
 		s.list.Watch() // the module does not ask where changes come unasked; here all is asked for
 	}
@@ -121,7 +124,7 @@
 // told takes news of the list in.
 func (s *service) told(list discovery.List) {
 	if list.Form != dispatch.ListFailed {
-		s.heard = true
+		s.knows()
 		s.fleet.List(list)
 	} else if s.site.Deployment.Pushed {
 		s.loop.After(listWithin/4, s.list.Watch)
@@ -282,36 +285,6 @@
 	}
 }
 
-// stop is the order to end. Clients go on coming for a while and what is in hand is still worth serving; what can't
-// be served in time is answered as errored, which promises nothing, well before a kill would lose it.
-type stop struct{ *service }
-
-// Take begins the end.
-func (n stop) Take() {
-	s := n.service
-	if s.leaving {
-		return
-	}
-	s.leaving = true
-	s.log.Info("told to stop: ", s.door.InHand(), " in hand")
-	last := s.loop.Now() + min(max(s.site.LongestTimeout, shutAfter), leaveMost)
-	s.door.Leave(last)
-	s.loop.After(shutAfter, func() {
-		s.door.Shut()
-		s.leave()
-	})
-	s.loop.After(last-s.loop.Now(), s.failRest)
-	s.loop.After(last+leaveMargin-s.loop.Now(), s.loop.Stop)
-}
-
-func (s *service) leave() {
-	if s.door.InHand() == 0 && !s.door.Busy() {
-		s.loop.Stop()
-		return
-	}
-	s.loop.After(10*time.Millisecond, s.leave)
-}
-
 // report is the counters as JSON.
 func (s *service) report() []byte {
 	spread := func(h *hdrhistogram.Histogram) map[string]int64 {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -14,6 +14,7 @@
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
 	"stoatweir/internal/http1"
+	"stoatweir/internal/life"
 	"stoatweir/internal/settings"
 	"stoatweir/internal/workers"
 )
@@ -52,7 +53,7 @@
 	Took   func(*workers.Invocation) // an invocation has come; the event follows
 	News   func(workers.News)        // of a worker
 	Served func(time.Duration)       // how long a client waited for its worker's result
-	Ready  func() bool
+	Manner func() life.Manner
 	Report func() []byte // the counters, for people
 	Counts Counts
 
@@ -70,8 +71,6 @@
 	inHand     map[dispatch.InvID]*inHand
 	ids        map[string]bool
 	visits     map[*visit]struct{}
-	leavesAt   time.Duration // 0: not leaving
-	shuts      bool
 }
 
 type inHand struct {
@@ -206,16 +205,17 @@
 	d.loop.After(idRests, func() { delete(d.ids, id) })
 }
 
-// Leave begins the end: readiness is withdrawn, and what comes until the time given is still taken. Connections stay open
-// until Shut, as the clients on them may have nobody else to ask yet. A budget stays what the client said: a shorter one
-// would look like that of a client that has waited for long, and be refused at once.
-func (d *Door) Leave(by time.Duration) { d.leavesAt = by }
-
-// Shut closes idle connections, and from now on every answer closes its own.
-func (d *Door) Shut() {
-	d.shuts = true
+// Follow closes what may not stay as things stand now. Until then connections stay open, as the clients on them may have
+// nobody else to ask yet. A budget stays what the client said, also near the end: a shorter one would look like that of a
+// client that has waited for long, and be refused at once.
+func (d *Door) Follow() {
+	m := d.Manner()
 	for v := range d.visits {
-		if v.inv == 0 && !v.parser.Started() && v.c.In.Len() == 0 && v.c.Unsent() == 0 {
+		switch {
+		case v.inv != 0 || m.News && v.brings:
+		case m.Sweeps && v.parser.Started() && !v.last:
+			v.malformed(408)
+		case m.Shuts && !v.parser.Started() && v.c.In.Len() == 0 && v.c.Unsent() == 0:
 			v.quit()
 		}
 	}
@@ -245,6 +245,7 @@
 	waits  bool           // for that
 	strays int            // requests in a row that made no sense
 	useful bool           // it has brought an invocation or news
+	brings bool           // the latter
 }
 
 // Up has nothing to do.
@@ -331,7 +332,7 @@
 }
 
 func (v *visit) answer(status int, body []byte, fields ...http1.Field) {
-	if v.last = v.last || v.door.shuts; v.last {
+	if v.last = v.last || v.shuts(); v.last {
 		fields = append(fields, http1.Field{Name: "Connection", Value: "close"})
 	}
 	v.c.Write(http1.Answer(status, body, fields...))
@@ -340,13 +341,19 @@
 	}
 }
 
+// shuts tells whether the connection ends with the next answer.
+func (v *visit) shuts() bool {
+	m := v.door.Manner()
+	return m.Shuts && !(m.News && v.brings)
+}
+
 func (v *visit) take(m *http1.Message) {
 	d := v.door
 	path, _, _ := strings.Cut(m.Target, "?")
 	switch {
 	case path == newsPath:
 		v.news(m)
-	case path == readyPath && d.leavesAt == 0 && d.Ready():
+	case path == readyPath && d.Manner().Yes:
 		v.answer(200, nil)
 	case path == readyPath:
 		v.answer(503, nil)
@@ -363,7 +370,7 @@
 func (v *visit) refuse(status int) {
 	d := v.door
 	d.Counts.Malformed++
-	if v.strays++; v.strays == 1 || v.last || d.shuts {
+	if v.strays++; v.strays == 1 || v.last || v.shuts() {
 		v.answer(status, nil)
 		return
 	}
@@ -393,7 +400,7 @@
 	if len(in.Load) > 0 {
 		n.Load = v.door.site.Report.Parse(string(in.Load))
 	}
-	v.useful = true
+	v.useful, v.brings = true, true
 	v.answer(204, nil) // whatever it is about: the worker goes on trying until it has been heard
 	v.door.News(n)
 }
@@ -426,7 +433,7 @@
 	case d.ids[id]:
 		v.refuse(409) // the one in hand has its own answer coming
 		return
-	case len(d.inHand) >= d.most, d.leavesAt > 0 && d.loop.Now() >= d.leavesAt:
+	case len(d.inHand) >= d.most, !d.Manner().Takes:
 		d.Counts.Crowded++
 		v.last = true // the descriptor is wanted: what waits to be accepted counts as taken, workers' news among it
 		v.answer(503, nil)
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -10,6 +10,7 @@
 
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
+	"stoatweir/internal/life"
 	"stoatweir/internal/settings"
 	"stoatweir/internal/workers"
 )
@@ -37,7 +38,8 @@
 	}
 	d.News = func(n workers.News) { fmt.Println("news", n.ID, n.From, n.State, n.Share, n.Load != nil) }
 	d.Served = func(time.Duration) {}
-	d.Ready, d.Report = func() bool { return true }, func() []byte { return []byte("{}") }
+	manner = life.Manner{Yes: true, Takes: true}
+	d.Manner, d.Report = func() life.Manner { return manner }, func() []byte { return []byte("{}") }
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
@@ -46,6 +48,8 @@
 	return l, d, listener.Addr().String(), func() { listener.Close() }
 }
 
+var manner life.Manner // what the door is told of the life cycle
+
 // until runs the loop in which the door lives.
 func until(l *conn.Loop, what string, done func() bool) {
 	late := l.After(10*time.Second, func() { panic("waited in vain for " + what) })
@@ -361,11 +365,12 @@
 		return d.Counts.Connections == 2 && len(d.visits) == 1 && !d.Busy() && d.share.Used() == 1
 	})
 	l.After(20*time.Millisecond, func() {
-		d.Leave(l.Now() + 300*time.Millisecond)
+		manner.Yes = false
 		idle.Write([]byte("GET /-/ready HTTP/1.1\r\n\r\n"))
 	})
-	l.After(100*time.Millisecond, d.Shut)
-	until(l, "the idle one's end", func() bool { return d.leavesAt > 0 && len(d.visits) == 0 })
+	l.After(100*time.Millisecond, func() { manner.Shuts = true; d.Follow() })
+	l.After(300*time.Millisecond, func() { manner.Takes = false })
+	until(l, "the idle one's end", func() bool { return manner.Shuts && len(d.visits) == 0 })
 	b, _ := io.ReadAll(idle)
 	fmt.Printf("%q\n", b)
 	idle.Close()
@@ -388,3 +393,50 @@
 	// "500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 }
+
+// In a drain clients' connections end, those with half a request last; one that brings workers' news stays throughout.
+func Example_drain() {
+	l, d, addr, shut := open(10)
+	defer shut()
+	dial := func(text string) net.Conn {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			panic(err)
+		}
+		c.Write([]byte(text))
+		return c
+	}
+	news := `{"id":"9b1f","from":"s-1","state":"started"}`
+	worker := dial(fmt.Sprintf("POST /_jobs/news HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(news), news))
+	defer worker.Close()
+	silent, half := dial(""), dial("POST /render HTTP/1.1\r\n")
+	until(l, "all three", func() bool {
+		begun := 0
+		for v := range d.visits {
+			if v.brings || v.parser.Started() {
+				begun++
+			}
+		}
+		return len(d.visits) == 3 && begun == 2
+	})
+	manner = life.Manner{Takes: true, Shuts: true, News: true}
+	d.Follow()
+	fmt.Println("left:", len(d.visits))
+	manner.Sweeps = true
+	d.Follow()
+	fmt.Println("left:", len(d.visits))
+	worker.Write([]byte("POST /_jobs/news HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"))
+	until(l, "more news", func() bool { return !d.Busy() && d.share.Used() == 1 })
+	for _, c := range []net.Conn{silent, half} {
+		b, _ := io.ReadAll(c)
+		fmt.Printf("%q\n", b)
+		c.Close()
+	}
+	// Output:
+	// news 9b1f s-1 started 0 false
+	// left: 2
+	// left: 1
+	// news    0 false
+	// ""
+	// "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+}
--- a/internal/conn/loop.go
+++ b/internal/conn/loop.go
@@ -12,6 +12,7 @@
 // Loop owns an inbox and alarms. All that it calls runs in one goroutine, one thing after the other.
 type Loop struct {
 	inbox  chan Note
+	orders chan Note // go before all that waits in the inbox
 	start  time.Time
 	now    time.Duration
 	alarms alarms
@@ -22,7 +23,9 @@
 }
 
 // NewLoop starts the clock.
-func NewLoop(start time.Time) *Loop { return &Loop{inbox: make(chan Note, 1024), start: start} }
+func NewLoop(start time.Time) *Loop {
+	return &Loop{inbox: make(chan Note, 1024), orders: make(chan Note, 16), start: start}
+}
 
 // Now is the time since the start, read once for each note: all that a note causes happens at one moment.
 func (l *Loop) Now() time.Duration { return l.now }
@@ -30,6 +33,9 @@
 // Put leaves a note; any goroutine may.
 func (l *Loop) Put(n Note) { l.inbox <- n }
 
+// Order leaves a note that goes before all others: who gives it waits for a second at most, however full the inbox is.
+func (l *Loop) Order(n Note) { l.orders <- n }
+
 // Stop ends Run after the present note.
 func (l *Loop) Stop() { l.ended = true }
 
@@ -44,6 +50,8 @@
 		}
 		timer.Reset(max(0, wait))
 		select {
+		case n := <-l.orders:
+			l.take(n)
 		case n := <-l.inbox:
 			l.take(n)
 		case <-timer.C:
@@ -51,8 +59,10 @@
 		// What has come meanwhile belongs to the same moment for the decisions; no more than that, as a flood of
 		// notes must not keep the alarms from ringing.
 		for range len(l.inbox) {
+			l.ordered()
 			l.take(<-l.inbox)
 		}
+		l.ordered()
 		l.now = time.Since(l.start)
 		for len(l.alarms) > 0 && l.alarms[0].at <= l.now {
 			a := heap.Pop(&l.alarms).(*Alarm)
@@ -62,6 +72,12 @@
 	}
 }
 
+func (l *Loop) ordered() {
+	for len(l.orders) > 0 {
+		l.take(<-l.orders)
+	}
+}
+
 func (l *Loop) take(n Note) {
 	l.now = time.Since(l.start)
 	l.guard(n.Take)
--- /dev/null
+++ b/internal/life/life.go
@@ -0,0 +1,154 @@
+// Package life says how a process stands between its start and its end. All who must know ask here: readiness, the
+// operators, the door for clients, and the stop. It has neither clock nor I/O: what has happened is told with its time.
+package life
+
+import "time"
+
+// State is where in its life a process is.
+type State uint8
+
+const (
+	Starting    State = iota // there is no list to serve by yet
+	Ready                    // it serves
+	Standby                  // operators have taken it out; it stays
+	HandingOver              // told to stop while a successor serves at the same address
+	Stopping                 // told to stop
+)
+
+var names = [...]string{"starting", "ready", "standby", "handing over", "stopping"}
+
+func (s State) String() string { return names[s] }
+
+const (
+	// shutAfter is how long clients may go on using their connections after the order to stop: a scheduler that was
+	// stopped before may not be back yet, and with the connections closed at once they would have nobody to ask.
+	shutAfter = 1500 * time.Millisecond
+	// drainShut is the same after the order to drain: the front takes 0.3 s to turn elsewhere.
+	drainShut = time.Second
+	// drainTakes: at 4 s no client may be held that came in the last 2 s.
+	drainTakes = 1900 * time.Millisecond
+	// drainSweep: nor may a connection without an invocation; what closes then has time to go.
+	drainSweep = 3400 * time.Millisecond
+	leaveMost  = 3200 * time.Millisecond // no kill comes before 3.7 s
+	// leaveMargin is between the last answers and our end.
+	leaveMargin = 200 * time.Millisecond
+)
+
+// Manner is how a process behaves at a moment.
+type Manner struct {
+	Yes    bool // it says that it is ready
+	Takes  bool // new invocations are taken
+	Shuts  bool // idle connections of clients close, and each answer closes its own
+	Sweeps bool // so do those that have begun a request and not ended it
+	News   bool // connections that bring workers' news stay while others shut
+	Leaves bool // the process ends once nothing is owed
+	Rests  bool // what is still owed is answered now, as there is no more time
+	Over   bool // the process ends
+}
+
+// Cycle is the state machine. Its zero value is a process that starts.
+type Cycle struct {
+	state     State
+	knows     bool          // there is a list to serve by, whatever the state
+	successor bool          // another process serves at the same address
+	since     time.Duration // of the state
+	shutAt    time.Duration // stopping: when connections close
+	last      time.Duration // and when what is owed is given up
+}
+
+// State tells the present one.
+func (c *Cycle) State() State { return c.state }
+
+func (c *Cycle) enter(s State, now time.Duration) {
+	if c.state != s {
+		c.state, c.since = s, now
+	}
+}
+
+// Knows: there is a list to serve by, or the wait for one is over.
+func (c *Cycle) Knows(now time.Duration) {
+	if c.knows = true; c.state == Starting {
+		c.enter(Ready, now)
+	}
+}
+
+// Standby is the order to drain. False: it can't be carried out.
+func (c *Cycle) Standby(now time.Duration) bool {
+	if c.state >= HandingOver {
+		return false
+	}
+	c.enter(Standby, now)
+	return true
+}
+
+// Active is the order to take clients again, also in the midst of a drain.
+func (c *Cycle) Active(now time.Duration) bool {
+	switch {
+	case c.state >= HandingOver:
+		return false
+	case c.state == Standby && c.knows:
+		c.enter(Ready, now)
+	case c.state == Standby:
+		c.enter(Starting, now)
+	}
+	return true
+}
+
+// Successor tells whether another process serves at the same address from now on.
+func (c *Cycle) Successor(stands bool) { c.successor = stands }
+
+// Stop is the order to end; longest is the longest that a client waits. A second order changes nothing.
+func (c *Cycle) Stop(now, longest time.Duration) {
+	if c.state >= HandingOver {
+		return
+	}
+	c.last = now + min(max(longest, shutAfter), leaveMost)
+	switch {
+	case c.successor:
+		c.shutAt = now
+	case c.state == Standby: // who was to turn elsewhere has had the time for it
+		c.shutAt = max(now, c.since+drainShut)
+	default:
+		c.shutAt = now + shutAfter
+	}
+	if c.successor {
+		c.enter(HandingOver, now)
+	} else {
+		c.enter(Stopping, now)
+	}
+}
+
+// At tells how the process behaves.
+func (c *Cycle) At(now time.Duration) (m Manner) {
+	age := now - c.since
+	switch c.state {
+	case Starting:
+		m = Manner{Takes: true}
+	case Ready:
+		m = Manner{Yes: true, Takes: true}
+	case Standby:
+		m = Manner{Takes: age < drainTakes, Shuts: age >= drainShut, Sweeps: age >= drainSweep, News: true}
+	case HandingOver, Stopping:
+		shuts := now >= c.shutAt
+		m = Manner{Takes: now < c.last, Shuts: shuts, Leaves: shuts, News: c.state == HandingOver,
+			Rests: now >= c.last, Over: now >= c.last+leaveMargin}
+	}
+	return m
+}
+
+// Next is when the behaviour changes by time alone; false: not any more.
+func (c *Cycle) Next(now time.Duration) (time.Duration, bool) {
+	var times []time.Duration
+	switch c.state {
+	case Standby:
+		times = []time.Duration{c.since + drainShut, c.since + drainTakes, c.since + drainSweep}
+	case Stopping, HandingOver:
+		times = []time.Duration{c.shutAt, c.last, c.last + leaveMargin}
+	}
+	for _, at := range times {
+		if at > now {
+			return at, true
+		}
+	}
+	return 0, false
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -12,6 +12,7 @@
 // Node is what one scheduler of the service is told at its start.
 type Node struct {
 	Name, Listen, Discovery string
+	Admin                   string // the operators' address; empty: none
 	Seed                    int64
 	MemoryMB, Sockets       int
 	Known                   json.RawMessage // the list of workers as last had, in discovery's form
@@ -24,6 +25,7 @@
 		key  string
 		same bool
 	}{{"name", n.Name == newer.Name}, {"listen", n.Listen == newer.Listen},
+		{"admin", n.Admin == newer.Admin},
 		{"limits", n.MemoryMB == newer.MemoryMB && n.Sockets == newer.Sockets},
 		{"settings", reflect.DeepEqual(n.Site, newer.Site)}} {
 		if !v.same {
@@ -55,8 +57,8 @@
 // ParseNode reads and checks the text of that file.
 func ParseNode(text []byte, env func(string) string) (n Node, err error) {
 	var in struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Discovery, Admin, Seed string
+		Limits                               struct {
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int `json:"sockets"`
 		} `json:"limits"`
@@ -66,7 +68,7 @@
 	if err := decode(text, &in); err != nil {
 		return n, err
 	}
-	n = Node{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, MemoryMB: in.Limits.MemoryMB,
+	n = Node{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Admin: in.Admin, MemoryMB: in.Limits.MemoryMB,
 		Sockets: in.Limits.Sockets, Known: in.Known}
 	for _, v := range []struct {
 		to        *string
@@ -80,7 +82,13 @@
 			return n, fmt.Errorf("%s: is not set, nor is %s", v.key, v.name)
 		}
 	}
-	for _, v := range [][2]string{{"listen", n.Listen}, {"discovery", n.Discovery}} {
+	if n.Admin == "" {
+		n.Admin = env("PROXY_ADMIN")
+	}
+	for _, v := range [][2]string{{"listen", n.Listen}, {"discovery", n.Discovery}, {"admin", n.Admin}} {
+		if v[0] == "admin" && v[1] == "" {
+			continue
+		}
 		if _, err := netip.ParseAddrPort(v[1]); err != nil {
 			return n, fmt.Errorf("%s: %q is no address with a port", v[0], v[1])
 		}
