Replace a process beside itself: the socket is passed, news goes to its owner

Seen: "node n0 crashed (while it ran twice): exited with 1"; main.go, listen, waited for the address for 5 s and ended, and an earlier start would have swallowed the other's news (clients.go, news: 204 to any). Ruled out: SO_REUSEPORT alone; a test with 20 connections pending shows that all are reset when the first socket closes, none when it is passed. Change: internal/handover (finding, welcome with the socket, messages), the bond in cmd/stoatweir/successor.go, the life cycle's handing over, half of descriptors and memory each while both live.

--- a/cmd/stoatweir/life.go
+++ b/cmd/stoatweir/life.go
@@ -62,6 +62,9 @@
 	done := step()
 	if now := s.life.State(); now != before {
 		s.log.Info(what, ": ", before, " to ", now, ", ", s.door.InHand(), " in hand")
+		if now == life.Ready {
+			s.serves()
+		}
 		s.stands.Store(uint32(now))
 		s.follow()
 	} else if !done {
--- a/cmd/stoatweir/main.go
+++ b/cmd/stoatweir/main.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -19,17 +18,23 @@
 	"stoatweir/internal/settings"
 )
 
-// listen waits for the address: after a restart the process before may still be on its way out.
-func listen(addr string) (l net.Listener, err error) {
-	for range 100 {
-		if l, err = net.Listen("tcp", addr); !errors.Is(err, syscall.EADDRINUSE) {
-			return l, err
+// operate waits for the address: after a restart the process before may still be on its way out. Serving clients does
+// not wait for it.
+func operate(l net.Listener, addr string, door *admin.Door, log *logrus.Entry) {
+	for tries, err := 0, error(nil); l == nil; tries++ {
+		if l, err = net.Listen("tcp", addr); err != nil {
+			l = nil
+			if tries == adminTries {
+				log.WithError(err).Error("admin: ", addr, ": still trying")
+			}
+			time.Sleep(adminAgain)
 		}
-		time.Sleep(50 * time.Millisecond)
 	}
-	return l, err
+	door.Serve(l)
 }
 
+const adminTries, adminAgain = 100, 50 * time.Millisecond
+
 func main() {
 	// First of all: an order to read the configuration anew that came any earlier would end the program. Orders that
 	// come while one is carried out are one, as the file is read after the last of them.
@@ -45,18 +50,22 @@
 		log.WithError(err).Fatal("the configuration can't be used")
 	}
 	runtime.GOMAXPROCS(1) // one core is ours; more threads would only take turns on it
-	debug.SetMemoryLimit(int64(node.MemoryMB) << 20 * 6 / 10)
-	s := newService(node, log.WithField("node", node.Name))
-	listener, err := listen(node.Listen)
+	entry := log.WithField("node", node.Name)
+	at, err := arrive(node, os.TempDir(), entry)
 	if err != nil {
-		log.WithError(err).Fatal("listen: can't listen")
+		log.WithError(err).Fatal("listen: ", node.Listen)
+	}
+	s := newService(node, entry)
+	s.share(node.Sockets, node.MemoryMB)
+	if at.link != nil {
+		s.share(at.welcome.Sockets, at.welcome.MemoryMB)
 	}
 	if node.Admin != "" {
-		operators, err := listen(node.Admin)
-		if err != nil {
-			log.WithError(err).Fatal("admin: can't listen")
+		operators, err := net.Listen("tcp", node.Admin)
+		if err != nil && !errors.Is(err, syscall.EADDRINUSE) {
+			log.WithError(err).Fatal("admin: ", node.Admin)
 		}
-		go admin.New(s.calls(), operatorsMost).Serve(operators)
+		go operate(operators, node.Admin, admin.New(s.calls(), operatorsMost), entry)
 	}
 	out := newLines(os.Stderr)
 	log.SetOutput(out)
@@ -68,7 +77,7 @@
 		}
 	}()
 	go s.reload(reloads, func() (settings.Node, error) { return settings.ReadNode(os.Getenv) })
-	s.run(listener)
+	s.run(at)
 	fmt.Fprintf(out, "%s\n", s.report())
 	out.close(100 * time.Millisecond)
 }
--- /dev/null
+++ b/cmd/stoatweir/rig_test.go
@@ -0,0 +1,408 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// rig is a small scripted world on loopback round real processes of the built program: one list of workers, workers that
+// take, tell and count, and clients that insist on one answer each.
+type rig struct {
+	t       *testing.T
+	dir     string // of $TMPDIR and the configuration
+	listen  string
+	config  map[string]any
+	workers []*peer
+	program string
+
+	mu        sync.Mutex
+	processes []*process
+	load      sync.WaitGroup
+	stopped   chan struct{}
+	answers   map[int]int // by status; -1: none
+	troubles  []string
+}
+
+// peer is a scripted worker.
+type peer struct {
+	*rig
+	uid, addr string
+	runs      time.Duration
+
+	mu      sync.Mutex
+	got     map[string]int // attempts by id
+	open    map[string]int // attempts under way by id
+	twice   []string       // a second attempt while one was under way here
+	unheard []string       // ends that the scheduler did not take
+}
+
+// process is one run of the program.
+type process struct {
+	*exec.Cmd
+	admin string
+	log   string
+	ended chan struct{}
+	err   error
+}
+
+var (
+	buildOnce sync.Once
+	built     string
+	buildErr  error
+)
+
+// program builds what is tested.
+func program(t *testing.T) string {
+	t.Helper()
+	buildOnce.Do(func() {
+		dir, err := os.MkdirTemp("", "stoatweir-test")
+		if err != nil {
+			buildErr = err
+			return
+		}
+		built = filepath.Join(dir, "stoatweir")
+		if text, err := exec.Command("go", "build", "-o", built, ".").CombinedOutput(); err != nil {
+			buildErr = fmt.Errorf("%w: %s", err, text)
+		}
+	})
+	if buildErr != nil {
+		t.Fatal(buildErr)
+	}
+	return built
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if built != "" {
+		os.RemoveAll(filepath.Dir(built))
+	}
+	os.Exit(code)
+}
+
+// addr is a free address.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newRig(t *testing.T, workers int, runs time.Duration) *rig {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "sw") // short: a Unix socket's path goes in it
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, dir: dir, listen: freeAddr(t), program: program(t), stopped: make(chan struct{}), answers: map[int]int{}}
+	var targets []string
+	for n := range workers {
+		w := &peer{rig: r, uid: fmt.Sprint("s-", n), runs: runs, got: map[string]int{}, open: map[string]int{}}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.addr = l.Addr().String()
+		server := &http.Server{Handler: w}
+		go server.Serve(l)
+		t.Cleanup(func() { server.Close() })
+		r.workers = append(r.workers, w)
+		targets = append(targets, fmt.Sprintf(`{"uid":%q,"endpoint":%q,"state":"Ready"}`, w.uid, w.addr))
+	}
+	list := `{"rev":1,"all":true,"targets":[` + strings.Join(targets, ",") + `]}`
+	discovery := serve(t, func(first, body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(list)+1, list)
+	})
+	r.config = map[string]any{"name": "n0", "listen": r.listen, "discovery": discovery, "seed": "8c1f",
+		"limits": map[string]any{"memory_mb": 64, "sockets": 256}, "known": json.RawMessage(list),
+		"settings": map[string]any{"Discovery": "ask", "PeersTotal": 1, "FamilyInfo": map[string]any{"TellsStart": true},
+			"Limits": map[string]any{"MostForwards": 3, "Cancel": true, "RetryAfter": true, "MaxRetryAfter": 1},
+			"Rules":  map[string]any{"AskWithin": 10},
+			"Operations": []map[string]any{
+				{"Name": "render", "Effect": "read_like", "LatencyObjective": 2, "ClientTimeout": 10},
+				{"Name": "sale", "Effect": "non_idempotent", "LatencyObjective": 2, "ClientTimeout": 10}}}}
+	r.write()
+	t.Cleanup(func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, p := range r.processes {
+			p.Process.Kill()
+			<-p.ended
+		}
+		os.RemoveAll(dir)
+	})
+	return r
+}
+
+func (r *rig) write() {
+	text, err := json.Marshal(r.config)
+	if err == nil {
+		err = os.WriteFile(filepath.Join(r.dir, "config.json"), text, 0o600)
+	}
+	if err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// start runs the program once more, with an operators' address of its own.
+func (r *rig) start() *process {
+	r.t.Helper()
+	p := &process{Cmd: exec.Command(r.program), admin: freeAddr(r.t), ended: make(chan struct{})}
+	tmp := filepath.Join(r.dir, "tmp")
+	os.MkdirAll(tmp, 0o700)
+	p.Env = []string{"TMPDIR=" + tmp, "PROXY_CONFIG=" + filepath.Join(r.dir, "config.json"), "PROXY_ADMIN=" + p.admin}
+	r.mu.Lock()
+	p.log = filepath.Join(r.dir, fmt.Sprint("log", len(r.processes)))
+	r.mu.Unlock()
+	log, err := os.Create(p.log)
+	if err == nil {
+		p.Stderr = log
+		err = p.Cmd.Start()
+	}
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	log.Close()
+	go func() { p.err = p.Wait(); close(p.ended) }()
+	r.mu.Lock()
+	r.processes = append(r.processes, p)
+	r.mu.Unlock()
+	return p
+}
+
+// ready waits for the process's yes.
+func (r *rig) ready(p *process) {
+	r.t.Helper()
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if p.ask("status") == "+OK ready\n" {
+			return
+		}
+	}
+	text, _ := os.ReadFile(p.log)
+	r.t.Fatalf("no yes within 6 s\n%s", text)
+}
+
+// logged waits until the process has said something so many times.
+func (r *rig) logged(p *process, what string, times int) {
+	r.t.Helper()
+	var text []byte
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if text, _ = os.ReadFile(p.log); strings.Count(string(text), what) >= times {
+			return
+		}
+	}
+	r.t.Fatalf("%q was not logged %d times\n%s", what, times, text)
+}
+
+// ask is an operator's call.
+func (p *process) ask(word string) string {
+	c, err := net.Dial("tcp", p.admin)
+	if err != nil {
+		return err.Error()
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(time.Second))
+	io.WriteString(c, word+"\n")
+	b, err := io.ReadAll(c)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
+
+// end waits for the process to end by itself.
+func (r *rig) end(p *process, within time.Duration) {
+	r.t.Helper()
+	select {
+	case <-p.ended:
+		if p.err != nil {
+			text, _ := os.ReadFile(p.log)
+			r.t.Errorf("ended with %v\n%s", p.err, text)
+		}
+	case <-time.After(within):
+		text, _ := os.ReadFile(p.log)
+		r.t.Errorf("has not ended after %v\n%s", within, text)
+	}
+}
+
+// clients begin to ask, one invocation after the other each, on kept connections.
+func (r *rig) clients(n int, class string) {
+	for c := range n {
+		r.load.Add(1)
+		go func() {
+			defer r.load.Done()
+			kept := &keptConn{addr: r.listen}
+			defer kept.close()
+			for i := 0; ; i++ {
+				select {
+				case <-r.stopped:
+					return
+				default:
+				}
+				r.one(kept, fmt.Sprintf("%s-%d-%d", class, c, i), class)
+			}
+		}()
+	}
+}
+
+// one hands in an invocation and counts its answer.
+func (r *rig) one(kept *keptConn, id, class string) {
+	began := time.Now()
+	status, body := kept.ask(post("/"+class+"/k", "X-Call-Id: "+id+"\r\nX-Call-Class: "+class+"\r\nX-Budget: 10\r\n", id))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers[status]++
+	if status == 200 && body != "made "+id {
+		r.troubles = append(r.troubles, fmt.Sprintf("%s: got %q", id, body))
+	}
+	if status == -1 {
+		r.troubles = append(r.troubles, fmt.Sprintf("%s: no answer after %v: %s", id, time.Since(began).Round(time.Millisecond), body))
+	}
+	if status == 429 || status == 503 {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// halt lets the clients' last invocations end.
+func (r *rig) halt() {
+	close(r.stopped)
+	r.load.Wait()
+}
+
+// check looks at what the peers saw.
+func (r *rig) check() {
+	r.t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, trouble := range r.troubles {
+		r.t.Error(trouble)
+	}
+	attempts := map[string]int{}
+	for _, w := range r.workers {
+		w.mu.Lock()
+		for _, id := range w.twice {
+			r.t.Error("a second attempt at one worker while one is under way: ", id)
+		}
+		for _, id := range w.unheard {
+			r.t.Error("an end that nobody took: ", id)
+		}
+		for id, n := range w.got {
+			if attempts[id] += n; attempts[id] > 1 && strings.HasPrefix(id, "sale") {
+				r.t.Error("a non-idempotent invocation was sent twice: ", id)
+			}
+		}
+		w.mu.Unlock()
+	}
+}
+
+// keptConn is a client's connection. One that was closed between two requests is opened anew, once.
+type keptConn struct {
+	addr string
+	c    net.Conn
+	r    *bufio.Reader
+}
+
+func (k *keptConn) close() {
+	if k.c != nil {
+		k.c.Close()
+		k.c = nil
+	}
+}
+
+func (k *keptConn) ask(request string) (status int, body string) {
+	for try := range 2 {
+		fresh := k.c == nil
+		if fresh {
+			c, err := net.Dial("tcp", k.addr)
+			if err != nil {
+				return -1, err.Error()
+			}
+			k.c, k.r = c, bufio.NewReader(c)
+		}
+		k.c.SetDeadline(time.Now().Add(12 * time.Second))
+		_, err := io.WriteString(k.c, request)
+		var first string
+		if err == nil {
+			var closes bool
+			if first, body, closes, err = answerOf(k.r); err == nil {
+				if closes {
+					k.close()
+				}
+				fmt.Sscanf(first, "HTTP/1.1 %d", &status)
+				return status, body
+			}
+		}
+		k.close()
+		if fresh || try == 1 || !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+			return -1, err.Error()
+		}
+	}
+	return -1, "unreachable"
+}
+
+func answerOf(r *bufio.Reader) (first, body string, closes bool, err error) {
+	answer, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return "", "", false, err
+	}
+	b, err := io.ReadAll(answer.Body)
+	return fmt.Sprint("HTTP/1.1 ", answer.StatusCode), string(b), answer.Close, err
+}
+
+// ServeHTTP takes invocations and tells their ends to whoever listens at the scheduler's address.
+func (w *peer) ServeHTTP(out http.ResponseWriter, in *http.Request) {
+	if in.Method != "POST" {
+		return
+	}
+	io.Copy(io.Discard, in.Body)
+	id := in.Header.Get("X-Call-Id")
+	w.mu.Lock()
+	w.got[id]++
+	if w.open[id]++; w.open[id] > 1 {
+		w.twice = append(w.twice, id)
+	}
+	w.mu.Unlock()
+	out.WriteHeader(202)
+	go func() {
+		time.Sleep(time.Millisecond)
+		w.tell(id, fmt.Sprintf(`{"id":%q,"from":%q,"state":"started"}`, id, w.uid))
+		time.Sleep(w.runs)
+		w.mu.Lock()
+		w.open[id]--
+		w.mu.Unlock()
+		if !w.tell(id, fmt.Sprintf(`{"id":%q,"from":%q,"state":"done","result":"made %s"}`, id, w.uid, id)) {
+			w.mu.Lock()
+			w.unheard = append(w.unheard, id)
+			w.mu.Unlock()
+		}
+	}()
+}
+
+// tell tries ten times at most, as workers do.
+func (w *peer) tell(id, news string) bool {
+	for range 10 {
+		kept := keptConn{addr: w.listen}
+		status, _ := kept.ask(post("/_jobs/news", "", news))
+		kept.close()
+		if status == 200 || status == 204 {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"maps"
-	"net"
 	"os"
 	"runtime/debug"
 	"slices"
@@ -18,13 +17,14 @@
 	"stoatweir/internal/clients"
 	"stoatweir/internal/conn"
 	"stoatweir/internal/discovery"
+	"stoatweir/internal/handover"
 	"stoatweir/internal/life"
 	"stoatweir/internal/settings"
 	"stoatweir/internal/workers"
 )
 
 const (
-	otherFiles = 12          // descriptors that are no connections: standard ones, poller, listener
+	otherFiles = 16          // descriptors that are no connections: standard ones, poller, listener, a successor's
 	listWithin = time.Second // a start without a known list waits so long for one
 	// With a known list there is no time to lose: while schedulers are restarted in turn, the next one may have been
 	// stopped already, and clients have nobody to ask. Who has gone since shows by itself, and the list follows.
@@ -55,6 +55,10 @@
 	steps  *conn.Alarm   // of the life cycle
 	last   time.Duration // when the module was last asked
 
+	at            address
+	opened        bool           // clients are let in
+	post          *handover.Post // where a successor finds us; nil: nowhere
+	bond          *bond          // nil: no other process serves at our address
 	life          life.Cycle
 	stands        atomic.Uint32 // the state of life, for operators
 	seed          int64
@@ -72,16 +76,11 @@
 	start, given := time.Now(), node
 	rules := &node.Site.Deployment.Rules
 	rules.AskWithin = min(rules.AskWithin, toldWithin)
-	sockets := node.Sockets - otherFiles
-	if node.Admin != "" {
-		sockets -= operatorsMost + 2 // their listener, and the one that is let in before another goes
-	}
 	loop := conn.NewLoop(start)
-	// Clients and news have five eighths of the descriptors, four for invocations in hand; workers have the rest.
-	ours, theirs := loop.Share(sockets-sockets*3/8), loop.Share(sockets*3/8)
+	ours, theirs := loop.Share(0), loop.Share(0)
 	s := &service{loop: loop, ours: ours, theirs: theirs, log: log, node: given, site: node.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
 		core: dispatch.New(node.Site.Deployment, node.Seed), seed: node.Seed, last: -1,
-		door:  clients.New(loop, node.Site, ours, sockets/2),
+		door:  clients.New(loop, node.Site, ours),
 		fleet: workers.NewFleet(loop, node.Site, theirs),
 		list:  discovery.New(loop, node.Discovery, node.Site.Zones, node.Site.Kinds, start),
 		waits: hdrhistogram.New(1, time.Minute.Microseconds(), 3), thinks: hdrhistogram.New(1, 1e7, 2)}
@@ -89,43 +88,62 @@
 	s.door.Event, s.fleet.Event = event, event
 	s.door.Took = func(j *workers.Invocation) { s.invs[j.Inv] = &tracked{Invocation: j} }
 	s.door.News, s.door.Report = s.fleet.Take, s.report
+	s.door.Relay, s.door.Foreign, s.door.Holds = s.relay, s.foreign, s.holds
 	s.door.Served = func(t time.Duration) { s.waits.RecordValue(t.Microseconds()) }
 	s.door.Manner = func() life.Manner { return s.life.At(loop.Now()) }
 	s.fleet.Deliver, s.fleet.Owed = s.door.Deliver, s.door.Owed
 	s.list.Told, loop.Panicked = s.told, s.panicked
 	s.list.Failed = func(why string) { log.Warn("the watch of the list has failed: ", why) }
+	s.resize(node.Sockets)
 	return s
 }
 
+// resize sets how many descriptors there are in all.
+func (s *service) resize(sockets int) {
+	sockets -= otherFiles
+	if s.node.Admin != "" {
+		sockets -= operatorsMost + 2 // their listener, and the one that is let in before another goes
+	}
+	// Clients and news have five eighths of the descriptors, four for invocations in hand; workers have the rest.
+	s.door.Resize(sockets / 2)
+	s.ours.Resize(sockets - sockets*3/8)
+	s.theirs.Resize(sockets * 3 / 8)
+}
+
 // run serves until the order to stop has been carried out.
-func (s *service) run(l net.Listener) {
+func (s *service) run(at address) {
+	s.at = at
 	within := listWithin
 	if len(s.known) > 0 {
 		list, err := s.list.Parse(s.known)
 		if err != nil {
 			s.log.Warn("known: ", err) // discovery will tell
 		}
-		if list.Form = dispatch.ListWhole; len(list.Workers) > 0 {
+		if list.Form = dispatch.ListWhole; len(list.Workers) > 0 && !at.shared {
 			within = knownWithin
 		}
 		s.fleet.List(list)
 		s.events = append(s.events, list.Listing())
 	}
+	if at.shared {
+		within = sharedWithin
+	}
 	s.loop.After(within, s.knows) // with discovery down we must serve too
+	s.meet()
 	if s.site.Deployment.Pushed {
 		s.list.Watch() // the module does not ask where changes come unasked; here all is asked for
 	}
 	s.events = append(s.events, dispatch.Due{}) // the module has things to begin, also where nothing is known
 	s.decide()
-	s.door.Listen(l)
 	s.loop.Run(s.decide)
+	s.post.Close()
 }
 
 // told takes news of the list in.
 func (s *service) told(list discovery.List) {
 	if list.Form != dispatch.ListFailed {
-		s.knows()
 		s.fleet.List(list)
+		s.loop.After(s.settling(), s.knows)
 	} else if s.site.Deployment.Pushed {
 		s.loop.After(listWithin/4, s.list.Watch)
 	}
--- a/cmd/stoatweir/service_test.go
+++ b/cmd/stoatweir/service_test.go
@@ -120,7 +120,7 @@
 	log.SetOutput(io.Discard)
 	s := newService(config, logrus.NewEntry(log))
 	over := make(chan struct{})
-	go func() { s.run(l); close(over) }()
+	go func() { s.run(address{listener: l}); close(over) }()
 	for exchange(node, "GET /-/ready HTTP/1.1\r\n\r\n") != "HTTP/1.1 200 OK " {
 		time.Sleep(time.Millisecond)
 	}
@@ -213,7 +213,7 @@
 	s := newService(config, logrus.NewEntry(log))
 	over := make(chan struct{})
 	began := time.Now()
-	go func() { s.run(l); close(over) }()
+	go func() { s.run(address{listener: l}); close(over) }()
 	for exchange(l.Addr().String(), "GET /-/ready HTTP/1.1\r\n\r\n") != "HTTP/1.1 200 OK " {
 		time.Sleep(time.Millisecond)
 	}
--- /dev/null
+++ b/cmd/stoatweir/successor.go
@@ -0,0 +1,276 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"stoatweir/internal/conn"
+	"stoatweir/internal/handover"
+	"stoatweir/internal/settings"
+)
+
+const (
+	// sharedWithin is how long a process that is to replace another waits for its first list: that one serves meanwhile,
+	// but a yes is due within 6 s.
+	sharedWithin = 3500 * time.Millisecond
+	// settleFor is until its probes are back.
+	settleFor = 400 * time.Millisecond
+	// heardIn is how long the other process may take for news.
+	heardIn = 400 * time.Millisecond
+	// unsureFor is how long news of unknown invocations may be the other process's where the two can't talk.
+	unsureFor = 8 * time.Second
+	// turnIn is how long a third process waits for two to be through.
+	turnIn, turnAgain = 6 * time.Second, 200 * time.Millisecond
+	idsAtOnce         = 256
+	// memoryPart of what we may have is what the collector aims at.
+	memoryPart = 6
+)
+
+// address is where clients come, and who else is there.
+type address struct {
+	listener net.Listener
+	place    string // where processes of this address find each other; empty: nowhere
+	shared   bool   // another process listens there
+	link     *handover.Link
+	welcome  handover.Message
+}
+
+// arrive finds who serves at our address and gets its socket, or one of our own.
+func arrive(node settings.Node, dir string, log *logrus.Entry) (at address, err error) {
+	var why error
+	if at.place, why = handover.Place(dir, node.Listen); why == nil {
+		at.link, at.welcome, at.listener, why = handover.Find(at.place, node.Listen)
+		for began := time.Now(); errors.Is(why, handover.ErrBusy) && time.Since(began) < turnIn; {
+			time.Sleep(turnAgain)
+			at.link, at.welcome, at.listener, why = handover.Find(at.place, node.Listen)
+		}
+	}
+	switch {
+	case why == nil:
+		log.Info("another process serves at ", node.Listen, ": it is to be replaced")
+		at.shared = true
+		return at, nil
+	case errors.Is(why, handover.ErrBusy):
+		return at, why
+	}
+	addr, err := netip.ParseAddrPort(node.Listen)
+	if err != nil {
+		return at, err
+	}
+	if at.shared = !handover.Free(addr); at.shared {
+		log.Warn("another process listens at ", node.Listen, " and can't be talked to: ", why)
+	} else if !errors.Is(why, handover.ErrNobody) {
+		log.Info("a successor will not find us: ", why)
+	}
+	at.listener, err = handover.Reuse(node.Listen)
+	return at, err
+}
+
+// bond is what joins two processes that serve at one address.
+type bond struct {
+	*service
+	link   *handover.Link
+	elder  bool // the other one was there first
+	asked  map[uint64]*question
+	number uint64
+	ids    map[string]bool // in hand there
+}
+
+// question is news that was passed on.
+type question struct {
+	heard func(bool)
+	late  *conn.Alarm
+}
+
+// word is what the other process has said.
+type word struct {
+	*bond
+	handover.Message
+}
+
+// parted: the other process has ended, or hangs.
+type parted struct{ *bond }
+
+// came is a process that wants to replace us.
+type came struct {
+	*service
+	*handover.Newcomer
+}
+
+func (s *service) tie(link *handover.Link, elder bool) {
+	b := &bond{service: s, link: link, elder: elder, asked: map[uint64]*question{}, ids: map[string]bool{}}
+	s.bond = b
+	link.Start(func(m handover.Message) { s.loop.Put(word{b, m}) }, func() { s.loop.Put(parted{b}) })
+}
+
+// meet begins to serve: at once where nobody else does.
+func (s *service) meet() {
+	if s.at.link != nil {
+		s.tie(s.at.link, true)
+	}
+	if !s.at.shared {
+		s.open()
+	}
+}
+
+// open lets clients in, and a successor.
+func (s *service) open() {
+	if s.opened {
+		return
+	}
+	s.opened = true
+	s.door.Listen(s.at.listener)
+	if s.at.place == "" {
+		return
+	}
+	post, err := handover.Keep(s.at.place)
+	if err != nil {
+		s.log.Info("a successor will not find us: ", err)
+		return
+	}
+	s.post = post
+	go post.Serve(func(n *handover.Newcomer) { s.loop.Put(came{s, n}) })
+}
+
+// serves: we say yes from now on.
+func (s *service) serves() {
+	s.open()
+	if s.bond != nil && s.bond.elder {
+		s.bond.link.Send(handover.Message{Kind: handover.Ready})
+	}
+}
+
+// Take gives a newcomer our socket and half of what we have.
+func (n came) Take() {
+	s := n.service
+	if s.bond != nil || n.Listen != s.node.Listen {
+		go n.Refuse(handover.Busy)
+		return
+	}
+	sockets, memory := s.node.Sockets/2, s.node.MemoryMB/2
+	link, err := n.Welcome(s.at.listener, handover.Message{Sockets: sockets, MemoryMB: memory})
+	if err != nil {
+		s.log.Warn("a process came to replace this one, and left: ", err)
+		return
+	}
+	s.log.Info("a process has come to replace this one")
+	s.share(s.node.Sockets-sockets, s.node.MemoryMB-memory)
+	s.tie(link, false)
+	for ids := s.door.IDs(); len(ids) > 0; {
+		n := min(len(ids), idsAtOnce)
+		link.Send(handover.Message{Kind: handover.Taken, IDs: ids[:n]})
+		ids = ids[n:]
+	}
+}
+
+// share says what part of descriptors and memory is ours.
+func (s *service) share(sockets, memoryMB int) {
+	s.resize(sockets)
+	debug.SetMemoryLimit(int64(memoryMB) << 20 * memoryPart / 10)
+}
+
+// Take is the end of a bond. Whatever the other one had is ours again.
+func (p parted) Take() {
+	s := p.service
+	if s.bond != p.bond {
+		return
+	}
+	s.bond = nil
+	s.share(s.node.Sockets, s.node.MemoryMB)
+	for _, q := range p.asked {
+		q.late.Stop()
+		q.heard(true) // with its owner gone nobody waits for it any more
+	}
+	if p.elder {
+		s.log.Info("the process before this one has ended")
+		s.open() // also before our yes: what waits in the queue has nobody else
+		return
+	}
+	s.log.Info("the process that came to replace this one has ended")
+	s.lives("the successor has ended", func() bool { s.life.Successor(s.loop.Now(), false); return true })
+}
+
+// Take takes a message in.
+func (m word) Take() {
+	s, b := m.service, m.bond
+	if s.bond != b {
+		return
+	}
+	switch m.Kind {
+	case handover.Ready:
+		if !b.elder {
+			s.lives("the successor serves", func() bool { s.life.Successor(s.loop.Now(), true); return true })
+		}
+	case handover.Taken:
+		for _, id := range m.IDs {
+			b.ids[id] = true
+		}
+	case handover.Freed:
+		for _, id := range m.IDs {
+			delete(b.ids, id)
+		}
+	case handover.News:
+		if n, err := s.door.ReadNews(m.Body); err == nil {
+			s.fleet.Take(n)
+		}
+		b.link.Send(handover.Message{Kind: handover.Heard, Number: m.Number})
+	case handover.Heard:
+		if q := b.asked[m.Number]; q != nil {
+			delete(b.asked, m.Number)
+			q.late.Stop()
+			q.heard(true)
+		}
+	default:
+		s.log.Warn(fmt.Sprintf("the other process said %.40q, which means nothing here", m.Kind))
+	}
+}
+
+// relay passes news on that is for nobody here. False: there is nobody who could have it.
+func (s *service) relay(body []byte, heard func(bool)) bool {
+	b := s.bond
+	switch {
+	case b == nil && s.at.shared && s.at.link == nil && s.loop.Now() < unsureFor:
+		// The worker's next try may reach the other one.
+		s.loop.After(0, func() { heard(false) })
+		return true
+	case b == nil:
+		return false
+	}
+	b.number++
+	number := b.number
+	b.asked[number] = &question{heard, s.loop.After(heardIn, func() {
+		delete(b.asked, number)
+		heard(false)
+	})}
+	b.link.Send(handover.Message{Kind: handover.News, Number: number, Body: body})
+	return true
+}
+
+// foreign tells whether an id is in hand at the other process.
+func (s *service) foreign(id string) bool { return s.bond != nil && s.bond.ids[id] }
+
+// holds tells the other process of our ids.
+func (s *service) holds(id string, holds bool) {
+	if s.bond == nil {
+		return
+	}
+	kind := handover.Freed
+	if holds {
+		kind = handover.Taken
+	}
+	s.bond.link.Send(handover.Message{Kind: kind, IDs: []string{id}})
+}
+
+// settling is how long to wait after the first list for figures.
+func (s *service) settling() time.Duration {
+	if s.at.shared && !s.opened {
+		return settleFor
+	}
+	return 0
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -51,11 +51,17 @@
 type Door struct {
 	Event  func(dispatch.Event)
 	Took   func(*workers.Invocation) // an invocation has come; the event follows
-	News   func(workers.News)        // of a worker
+	News   func(workers.News) bool   // of a worker; false: of nothing that is known here
 	Served func(time.Duration)       // how long a client waited for its worker's result
 	Manner func() life.Manner
 	Report func() []byte // the counters, for people
-	Counts Counts
+	// The other process that serves at our address, while there is one. Relay passes news on that is for nobody here, and
+	// tells later whether it was heard there; false: there is nobody to ask. Foreign: an id is in hand there. Holds: one is
+	// here.
+	Relay   func(body []byte, heard func(bool)) bool
+	Foreign func(id string) bool
+	Holds   func(id string, holds bool)
+	Counts  Counts
 
 	loop       *conn.Loop
 	share      *conn.Share
@@ -64,6 +70,8 @@
 	tenants    map[string]int
 	listener   net.Listener
 	more       chan struct{} // lets the listener accept one more
+	leave      bool          // it has been let
+	hears      bool          // it may be
 	waits      bool          // for a descriptor
 	retry      *conn.Alarm
 	most       int // invocations in hand
@@ -80,10 +88,9 @@
 	overdue *conn.Alarm
 }
 
-// New makes a door that is shut. most is how many invocations may be in hand at once: fewer than its share of
-// descriptors, so that there is always one to be had for news, and for whoever comes next.
-func New(loop *conn.Loop, site settings.Site, share *conn.Share, most int) *Door {
-	d := &Door{loop: loop, share: share, site: site, most: most, operations: map[string]int{}, tenants: map[string]int{},
+// New makes a door that is shut and has no room yet.
+func New(loop *conn.Loop, site settings.Site, share *conn.Share) *Door {
+	d := &Door{loop: loop, share: share, site: site, operations: map[string]int{}, tenants: map[string]int{},
 		inHand: map[dispatch.InvID]*inHand{}, ids: map[string]bool{}, visits: map[*visit]struct{}{},
 		more: make(chan struct{}, 1)}
 	for i, name := range site.Operations {
@@ -108,9 +115,9 @@
 
 // Listen opens the door. The listener waits for leave before each connection, so that descriptors are never short.
 func (d *Door) Listen(l net.Listener) {
-	d.listener = l
+	d.listener, d.hears = l, true
 	go func() {
-		for range d.more {
+		for range d.more { // the goroutine ends with the process
 			nc, err := l.Accept()
 			if err != nil {
 				nc = nil // a client that left while it waited, or the end: the loop says what follows
@@ -124,6 +131,7 @@
 // Take takes a connection in.
 func (a accepted) Take() {
 	d := a.Door
+	d.leave = false
 	if a.net == nil {
 		d.loop.After(time.Millisecond, d.accept) // not at once, as the error may last
 		return
@@ -139,7 +147,11 @@
 
 func (d *Door) accept() {
 	d.retry.Stop()
+	if d.waits = false; d.leave || d.listener == nil || !d.Manner().Hears {
+		return
+	}
 	if d.waits = !d.share.Spare(0); !d.waits {
+		d.leave = true
 		d.more <- struct{}{}
 		return
 	}
@@ -147,6 +159,13 @@
 	d.retry = d.loop.After(acceptAgain, d.share.Freed)
 }
 
+// IDs lists those that are taken.
+func (d *Door) IDs() []string { return slices.Sorted(maps.Keys(d.ids)) }
+
+// Resize says how many invocations may be in hand at once: fewer than the share of descriptors, so that there is always
+// one to be had for news, and for whoever comes next.
+func (d *Door) Resize(most int) { d.most = most }
+
 // Owed tells whether a client still waits for the answer.
 func (d *Door) Owed(inv dispatch.InvID) bool { return d.inHand[inv] != nil }
 
@@ -198,11 +217,15 @@
 
 // Free lets an id go some time after the last forward of it has ended; unless it was never sent, news of it may come.
 func (d *Door) Free(id string, sent bool) {
-	if !sent {
+	free := func() {
 		delete(d.ids, id)
+		d.Holds(id, false)
+	}
+	if !sent {
+		free()
 		return
 	}
-	d.loop.After(idRests, func() { delete(d.ids, id) })
+	d.loop.After(idRests, free)
 }
 
 // Follow closes what may not stay as things stand now. Until then connections stay open, as the clients on them may have
@@ -210,9 +233,18 @@
 // client that has waited for long, and be refused at once.
 func (d *Door) Follow() {
 	m := d.Manner()
+	if deaf, can := d.listener.(interface{ SetDeadline(time.Time) error }); can && d.hears != m.Hears {
+		// Whoever waits in the queue is for the other process, which listens at the same socket.
+		if d.hears = m.Hears; d.hears {
+			deaf.SetDeadline(time.Time{})
+		} else {
+			deaf.SetDeadline(time.Unix(1, 0))
+		}
+	}
+	d.accept()
 	for v := range d.visits {
 		switch {
-		case v.inv != 0 || m.News && v.brings:
+		case v.inv != 0 || v.waits || m.News && v.brings:
 		case m.Sweeps && v.parser.Started() && !v.last:
 			v.malformed(408)
 		case m.Shuts && !v.parser.Started() && v.c.In.Len() == 0 && v.c.Unsent() == 0:
@@ -385,24 +417,52 @@
 	})
 }
 
-func (v *visit) news(m *http1.Message) {
+// ReadNews reads what a worker calls back.
+func (d *Door) ReadNews(body []byte) (n workers.News, err error) {
 	var in struct {
 		ID, From, State string
 		Share           float64
 		Result          *string
 		Load            json.RawMessage
 	}
-	if m.Method != "POST" || json.Unmarshal(m.Body, &in) != nil {
-		v.refuse(400)
-		return
+	if err := json.Unmarshal(body, &in); err != nil {
+		return n, err
 	}
-	n := workers.News{ID: in.ID, From: in.From, State: in.State, Share: in.Share, Result: in.Result}
+	n = workers.News{ID: in.ID, From: in.From, State: in.State, Share: in.Share, Result: in.Result}
 	if len(in.Load) > 0 {
-		n.Load = v.door.site.Report.Parse(string(in.Load))
+		n.Load = d.site.Report.Parse(string(in.Load))
+	}
+	return n, nil
+}
+
+func (v *visit) news(m *http1.Message) {
+	d := v.door
+	n, err := d.ReadNews(m.Body)
+	if m.Method != "POST" || err != nil {
+		v.refuse(400)
+		return
 	}
 	v.useful, v.brings = true, true
+	if !d.News(n) && d.Relay(m.Body, v.heard) {
+		v.waits = true // nothing is acknowledged before its owner has it
+		return
+	}
 	v.answer(204, nil) // whatever it is about: the worker goes on trying until it has been heard
-	v.door.News(n)
+}
+
+// heard answers news that was passed on. What was not heard the worker is to try again.
+func (v *visit) heard(was bool) {
+	if _, stays := v.door.visits[v]; !stays {
+		return
+	}
+	status := 204
+	if !was {
+		status = 503
+	}
+	v.waits = false
+	if v.answer(status, nil); !v.last {
+		v.Read(v.c)
+	}
 }
 
 // once are the headers that may stand in a request only once: of two, each reader could believe another.
@@ -430,7 +490,7 @@
 		strings.Trim(string(v.c.In.Bytes()), "\r\n") != "":
 		v.refuse(400)
 		return
-	case d.ids[id]:
+	case d.ids[id], d.Foreign(id):
 		v.refuse(409) // the one in hand has its own answer coming
 		return
 	case len(d.inHand) >= d.most, !d.Manner().Takes:
@@ -456,6 +516,7 @@
 		d.Event(dispatch.Withdrawn{Inv: inv})
 	})
 	d.inHand[inv], d.ids[id] = j, true
+	d.Holds(id, true)
 	d.Took(&workers.Invocation{Inv: inv, ID: id, Method: m.Method, Target: m.Target, Fields: onward(m), Body: m.Body,
 		GivenUp: givenUp})
 	arrival := d.arrival(m)
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -24,7 +24,10 @@
 		panic(err)
 	}
 	l = conn.NewLoop(time.Now())
-	d = New(l, site, l.Share(40), most)
+	d = New(l, site, l.Share(40))
+	d.Resize(most)
+	d.Relay = func([]byte, func(bool)) bool { return false }
+	d.Foreign, d.Holds = func(string) bool { return false }, func(string, bool) {}
 	d.Event = func(e dispatch.Event) {
 		if a, is := e.(dispatch.Arrival); is {
 			fmt.Printf("inv %d: operation %d tenant %d slots %v hint %v budget %v\n", a.Inv, a.Operation, a.Tenant,
@@ -36,9 +39,12 @@
 	d.Took = func(j *workers.Invocation) {
 		fmt.Println("job", j.ID, j.Method, j.Target, j.Fields, string(j.Body))
 	}
-	d.News = func(n workers.News) { fmt.Println("news", n.ID, n.From, n.State, n.Share, n.Load != nil) }
+	d.News = func(n workers.News) bool {
+		fmt.Println("news", n.ID, n.From, n.State, n.Share, n.Load != nil)
+		return true
+	}
 	d.Served = func(time.Duration) {}
-	manner = life.Manner{Yes: true, Takes: true}
+	manner = life.Manner{Yes: true, Hears: true, Takes: true}
 	d.Manner, d.Report = func() life.Manner { return manner }, func() []byte { return []byte("{}") }
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -419,7 +425,7 @@
 		}
 		return len(d.visits) == 3 && begun == 2
 	})
-	manner = life.Manner{Takes: true, Shuts: true, News: true}
+	manner = life.Manner{Hears: true, Takes: true, Shuts: true, News: true}
 	d.Follow()
 	fmt.Println("left:", len(d.visits))
 	manner.Sweeps = true
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -362,6 +362,15 @@
 	return &Share{loop: l, most: most, flushing: map[*Conn]struct{}{}}
 }
 
+// Resize gives the share more or less. What is over it goes as far as it may; what can't go keeps others from coming.
+func (s *Share) Resize(most int) {
+	s.most = most
+	s.Spare(-1)
+	if s.Freed != nil {
+		s.Freed()
+	}
+}
+
 // Flushed tells that no connection whose owner has done with it has bytes left to send: an end of the program before
 // that would cost its peer an answer.
 func (s *Share) Flushed() bool { return len(s.flushing) == 0 }
--- /dev/null
+++ b/internal/handover/message.go
@@ -0,0 +1,67 @@
+// Package handover is how a process that is to replace another one finds it, gets its listening socket, and how the two
+// talk for as long as both live: over a Unix socket of packets, so that a message and the descriptor that comes with it
+// stay together and nothing has to be framed.
+package handover
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+)
+
+// Version of the messages. Another one is refused: half an understanding would lose invocations.
+const Version = 1
+
+// maxPacket holds the longest body of news with its head.
+const maxPacket = 96 << 10
+
+// Kind says what a message is about.
+type Kind string
+
+const (
+	Hello   Kind = "hello"   // newcomer: it wants to take over
+	Welcome Kind = "welcome" // to it, with the listening socket
+	Refused Kind = "refused" // to it: it may not, and why
+	Ready   Kind = "ready"   // newcomer: it serves from now on
+	Taken   Kind = "taken"   // either: these ids are in hand here
+	Freed   Kind = "freed"   // either: these are no longer
+	News    Kind = "news"    // either: a worker's news that may be for the other one
+	Heard   Kind = "heard"   // the answer to that
+)
+
+// Message is one packet: a head, and a body that is passed on as it came.
+type Message struct {
+	Kind     Kind
+	Version  int      `json:",omitempty"`
+	Listen   string   `json:",omitempty"` // hello: the address to be taken over
+	Sockets  int      `json:",omitempty"` // welcome: the newcomer's part while both live
+	MemoryMB int      `json:",omitempty"` // likewise
+	Why      string   `json:",omitempty"`
+	IDs      []string `json:",omitempty"`
+	Number   uint64   `json:",omitempty"` // of news, in its answer too
+	Body     []byte   `json:"-"`
+}
+
+func (m Message) encode() ([]byte, error) {
+	head, err := json.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	packet := append(append(head, '\n'), m.Body...)
+	if len(packet) > maxPacket {
+		return nil, fmt.Errorf("a message of %d bytes is too long", len(packet))
+	}
+	return packet, nil
+}
+
+func decode(packet []byte) (m Message, err error) {
+	head, body, found := bytes.Cut(packet, []byte("\n"))
+	if !found {
+		return m, fmt.Errorf("a packet without a head")
+	}
+	if err := json.Unmarshal(head, &m); err != nil {
+		return m, err
+	}
+	m.Body = body
+	return m, nil
+}
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -36,7 +36,8 @@
 
 // Manner is how a process behaves at a moment.
 type Manner struct {
-	Yes    bool // it says that it is ready
+	Yes    bool // the address is served
+	Hears  bool // connections are accepted
 	Takes  bool // new invocations are taken
 	Shuts  bool // idle connections of clients close, and each answer closes its own
 	Sweeps bool // so do those that have begun a request and not ended it
@@ -94,8 +95,17 @@
 	return true
 }
 
-// Successor tells whether another process serves at the same address from now on.
-func (c *Cycle) Successor(stands bool) { c.successor = stands }
+// Successor tells whether another process serves at the same address from now on. Who was told to stop hands over to it
+// at once, and goes on alone should it end.
+func (c *Cycle) Successor(now time.Duration, stands bool) {
+	c.successor = stands
+	switch {
+	case stands && c.state == Stopping:
+		c.state, c.shutAt = HandingOver, min(c.shutAt, now)
+	case !stands && c.state == HandingOver:
+		c.state = Stopping
+	}
+}
 
 // Stop is the order to end; longest is the longest that a client waits. A second order changes nothing.
 func (c *Cycle) Stop(now, longest time.Duration) {
@@ -123,15 +133,16 @@
 	age := now - c.since
 	switch c.state {
 	case Starting:
-		m = Manner{Takes: true}
+		m = Manner{Takes: true, Hears: true}
 	case Ready:
-		m = Manner{Yes: true, Takes: true}
+		m = Manner{Yes: true, Takes: true, Hears: true}
 	case Standby:
-		m = Manner{Takes: age < drainTakes, Shuts: age >= drainShut, Sweeps: age >= drainSweep, News: true}
+		m = Manner{Takes: age < drainTakes, Hears: true, Shuts: age >= drainShut, Sweeps: age >= drainSweep, News: true}
 	case HandingOver, Stopping:
 		shuts := now >= c.shutAt
-		m = Manner{Takes: now < c.last, Shuts: shuts, Leaves: shuts, News: c.state == HandingOver,
-			Rests: now >= c.last, Over: now >= c.last+leaveMargin}
+		handing := c.state == HandingOver
+		m = Manner{Yes: handing, Hears: !handing, Takes: now < c.last, Shuts: shuts, Leaves: shuts, News: handing, Rests: now >= c.last,
+			Over: now >= c.last+leaveMargin}
 	}
 	return m
 }
--- a/internal/life/life_test.go
+++ b/internal/life/life_test.go
@@ -13,7 +13,7 @@
 		for _, v := range []struct {
 			is   bool
 			word string
-		}{{m.Yes, "yes"}, {m.Takes, "takes"}, {m.Shuts, "shuts"}, {m.Sweeps, "sweeps"}, {m.News, "keeps news"},
+		}{{m.Yes, "yes"}, {m.Hears, "hears"}, {m.Takes, "takes"}, {m.Shuts, "shuts"}, {m.Sweeps, "sweeps"}, {m.News, "keeps news"},
 			{m.Leaves, "leaves"}, {m.Rests, "gives up"}, {m.Over, "over"}} {
 			if v.is {
 				words = append(words, v.word)
@@ -39,15 +39,15 @@
 	fmt.Println(c.Active(11 * time.Second))
 	trace(&c, 11*time.Second)
 	// Output:
-	//    0s starting: takes
-	//    1s ready: yes, takes
+	// 0s starting: hears, takes
+	//    1s ready: yes, hears, takes
 	// true true
-	//   10s standby: takes, keeps news
-	//   11s standby: takes, shuts, keeps news
-	// 11.9s standby: shuts, keeps news
-	// 13.4s standby: shuts, sweeps, keeps news
+	//   10s standby: hears, takes, keeps news
+	//   11s standby: hears, takes, shuts, keeps news
+	// 11.9s standby: hears, shuts, keeps news
+	// 13.4s standby: hears, shuts, sweeps, keeps news
 	// true
-	//   11s ready: yes, takes
+	//   11s ready: yes, hears, takes
 }
 
 // Taken out before there is a list, it stays out when the list comes; back before the list, it starts.
@@ -84,20 +84,31 @@
 	// With a successor clients lose nothing by going there at once.
 	c = Cycle{}
 	c.Knows(0)
-	c.Successor(true)
+	c.Successor(0, true)
 	c.Stop(time.Second, 2*time.Second)
 	trace(&c, time.Second)
+	// It dies: the old process hears clients again for as long as it has. And another one comes.
+	c.Successor(1500*time.Millisecond, false)
+	trace(&c, 1500*time.Millisecond)
+	c.Successor(2*time.Second, true)
+	trace(&c, 2*time.Second)
 	// Output:
 	// false false
-	//    2s stopping: takes
-	//  3.5s stopping: takes, shuts, leaves
-	//  5.2s stopping: shuts, leaves, gives up
-	//  5.4s stopping: shuts, leaves, gives up, over
-	//  1.5s stopping: takes
-	//    2s stopping: takes, shuts, leaves
-	//    3s stopping: shuts, leaves, gives up
-	//  3.2s stopping: shuts, leaves, gives up, over
-	//    1s handing over: takes, shuts, keeps news, leaves
-	//    3s handing over: shuts, keeps news, leaves, gives up
-	//  3.2s handing over: shuts, keeps news, leaves, gives up, over
+	//    2s stopping: hears, takes
+	//  3.5s stopping: hears, takes, shuts, leaves
+	//  5.2s stopping: hears, shuts, leaves, gives up
+	//  5.4s stopping: hears, shuts, leaves, gives up, over
+	//  1.5s stopping: hears, takes
+	//    2s stopping: hears, takes, shuts, leaves
+	//    3s stopping: hears, shuts, leaves, gives up
+	//  3.2s stopping: hears, shuts, leaves, gives up, over
+	//    1s handing over: yes, takes, shuts, keeps news, leaves
+	//    3s handing over: yes, shuts, keeps news, leaves, gives up
+	//  3.2s handing over: yes, shuts, keeps news, leaves, gives up, over
+	//  1.5s stopping: hears, takes, shuts, leaves
+	//    3s stopping: hears, shuts, leaves, gives up
+	//  3.2s stopping: hears, shuts, leaves, gives up, over
+	//    2s handing over: yes, takes, shuts, keeps news, leaves
+	//    3s handing over: yes, shuts, keeps news, leaves, gives up
+	//  3.2s handing over: yes, shuts, keeps news, leaves, gives up, over
 }
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -279,13 +279,13 @@
 }
 
 // Take passes news on once: the end of a forward takes it out of the books, so that repeats, late ones and those
-// for ids that this process never sent meet nothing.
-func (f *Fleet) Take(n News) {
+// for ids that this process never sent meet nothing. That is told, as another process may have sent them.
+func (f *Fleet) Take(n News) bool {
 	f.Counts.News++
 	o := f.byName[name{n.ID, n.From}]
 	if o == nil {
 		f.Counts.Strange++
-		return
+		return false
 	}
 	n.Load = o.worker.said(n.Load, f.site.Report.Blank())
 	sign := dispatch.Sign{Inv: o.inv.Inv, Worker: o.worker.entry.Worker, Forward: o.number, Done: n.Share}
@@ -298,7 +298,7 @@
 	case "done":
 		if n.Result == nil {
 			f.end(o, conn.Garbage, n.Load)
-			return
+			return true
 		}
 		f.Deliver(o.inv.Inv, *n.Result)
 		f.end(o, conn.Served, n.Load)
@@ -311,6 +311,7 @@
 	default:
 		f.Counts.Strange++
 	}
+	return true
 }
 
 // Listing is the whole list as it stands, in one order for any run.
