--- /dev/null
+++ b/cmd/stoatweir/figures_test.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// figures are what the process tells operators, by name and labels.
+func (p *process) figures(t *testing.T) map[string]int {
+	t.Helper()
+	text := p.ask("stats")
+	lines := strings.Split(strings.TrimSuffix(text, "\n"), "\n")
+	if !strings.HasPrefix(text, "+OK") || lines[len(lines)-1] != "." {
+		t.Fatalf("stats: %q", text)
+	}
+	all := map[string]int{}
+	for _, line := range lines[1 : len(lines)-1] {
+		at := strings.LastIndexByte(line, ' ')
+		var n int
+		if _, err := fmt.Sscan(line[at+1:], &n); err != nil {
+			t.Fatalf("stats: %q", line)
+		}
+		all[line[:at]] = n
+	}
+	return all
+}
+
+func result(class, disposition string) string {
+	return fmt.Sprintf(`svc_results_total{service=%q,disposition=%q}`, class, disposition)
+}
+
+// What operators are told is what clients and workers saw: each class by itself, attempts, and what is under way.
+func TestFiguresAreTrue(t *testing.T) {
+	r := newRig(t, 3, 150*time.Millisecond)
+	p := r.start()
+	r.ready(p)
+	r.clients(5, "render")
+	r.clients(3, "sale")
+	time.Sleep(700 * time.Millisecond)
+	if got := p.figures(t); got["svc_outstanding"] != 8 || got["svc_discovered"] != 3 || got["svc_ejected"] != 0 {
+		t.Error("under load:", got)
+	}
+	r.halt()
+	time.Sleep(2 * publishAfter)
+	got, attempts := p.figures(t), 0
+	for _, w := range r.workers {
+		w.mu.Lock()
+		for _, n := range w.got {
+			attempts += n
+		}
+		w.mu.Unlock()
+	}
+	if n := got[result("render", "succeeded")] + got[result("sale", "succeeded")]; n != r.answers[200] || n < 20 {
+		t.Error("succeeded:", n, "clients saw:", r.answers)
+	}
+	if got["svc_forwards_total"] != attempts || got["svc_outstanding"] != 0 || got[result("sale", "aborted")] != 0 {
+		t.Error("workers saw", attempts, "in", got)
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	r.end(p, 5*time.Second)
+}
--- a/cmd/stoatweir/life.go
+++ b/cmd/stoatweir/life.go
@@ -51,6 +51,13 @@
 			}
 			return "ready", nil
 		},
+		"stats": func() (string, error) {
+			f := s.figures.Load()
+			if f == nil {
+				return "", errors.New(life.Starting.String())
+			}
+			return "figures\n" + f.Text() + ".", nil
+		},
 		"standby": told(func() bool { return s.lives("standby", func() bool { return s.life.Standby(s.loop.Now()) }) }),
 		"active":  told(func() bool { return s.lives("active", func() bool { return s.life.Active(s.loop.Now()) }) }),
 	}
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -18,6 +18,7 @@
 	"stoatweir/internal/conn"
 	"stoatweir/internal/discovery"
 	"stoatweir/internal/handover"
+	"stoatweir/internal/ledger"
 	"stoatweir/internal/life"
 	"stoatweir/internal/settings"
 	"stoatweir/internal/workers"
@@ -33,7 +34,9 @@
 	// watch that has failed must stand again, however long the settings allow not to ask.
 	toldWithin = 5 * time.Second
 	againAfter = 20 * time.Millisecond
-	leaveLook  = 10 * time.Millisecond
+	// publishAfter is how old the figures that operators see may be, at most, while something happens.
+	publishAfter = 100 * time.Millisecond
+	leaveLook    = 10 * time.Millisecond
 )
 
 // service is the wiring: one loop owns the module, hands it what has happened and carries out what it decides.
@@ -42,6 +45,7 @@
 	ours   *conn.Share // of the descriptors: for clients and news
 	theirs *conn.Share // for workers
 	log    *logrus.Entry
+	book   *ledger.Ledger
 	core   *dispatch.Dispatcher
 	door   *clients.Door
 	fleet  *workers.Fleet
@@ -61,6 +65,9 @@
 	bond          *bond          // nil: no other process serves at our address
 	life          life.Cycle
 	stands        atomic.Uint32 // the state of life, for operators
+	figures       atomic.Pointer[ledger.Figures]
+	published     int         // changes of the ledger that these hold
+	publishing    *conn.Alarm // nil: nothing has happened since
 	seed          int64
 	panics        int
 	waits, thinks *hdrhistogram.Histogram
@@ -77,10 +84,10 @@
 	rules := &node.Site.Deployment.Rules
 	rules.AskWithin = min(rules.AskWithin, toldWithin)
 	loop := conn.NewLoop(start)
-	ours, theirs := loop.Share(0), loop.Share(0)
-	s := &service{loop: loop, ours: ours, theirs: theirs, log: log, node: given, site: node.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
+	ours, theirs, book := loop.Share(0), loop.Share(0), ledger.New()
+	s := &service{loop: loop, ours: ours, theirs: theirs, log: log, book: book, node: given, site: node.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
 		core: dispatch.New(node.Site.Deployment, node.Seed), seed: node.Seed, last: -1,
-		door:  clients.New(loop, node.Site, ours),
+		door:  clients.New(loop, node.Site, ours, book),
 		fleet: workers.NewFleet(loop, node.Site, theirs),
 		list:  discovery.New(loop, node.Discovery, node.Site.Zones, node.Site.Kinds, start),
 		waits: hdrhistogram.New(1, time.Minute.Microseconds(), 3), thinks: hdrhistogram.New(1, 1e7, 2)}
@@ -91,7 +98,7 @@
 	s.door.Relay, s.door.Foreign, s.door.Holds = s.relay, s.foreign, s.holds
 	s.door.Served = func(t time.Duration) { s.waits.RecordValue(t.Microseconds()) }
 	s.door.Manner = func() life.Manner { return s.life.At(loop.Now()) }
-	s.fleet.Deliver, s.fleet.Owed = s.door.Deliver, s.door.Owed
+	s.fleet.Deliver, s.fleet.Owed, s.fleet.Wrote = s.door.Deliver, s.door.Owed, book.Sent
 	s.list.Told, loop.Panicked = s.told, s.panicked
 	s.list.Failed = func(why string) { log.Warn("the watch of the list has failed: ", why) }
 	s.resize(node.Sockets)
@@ -135,6 +142,7 @@
 	}
 	s.events = append(s.events, dispatch.Due{}) // the module has things to begin, also where nothing is known
 	s.decide()
+	s.publish()
 	s.loop.Run(s.decide)
 	s.post.Close()
 }
@@ -183,6 +191,9 @@
 
 // decide asks the module for as long as something has happened; what it orders can make things happen.
 func (s *service) decide() {
+	if s.node.Admin != "" && s.publishing == nil && (len(s.events) > 0 || s.book.Changes != s.published) {
+		s.publishing = s.loop.After(publishAfter, s.publish)
+	}
 	for len(s.events) > 0 {
 		events := s.events
 		s.events = nil
@@ -303,6 +314,13 @@
 	}
 }
 
+// publish lets operators see the figures as they stand.
+func (s *service) publish() {
+	f := s.book.Figures(s.fleet.Listed(), s.core.Avoided())
+	s.figures.Store(&f)
+	s.published, s.publishing = s.book.Changes, nil
+}
+
 // report is the counters as JSON.
 func (s *service) report() []byte {
 	spread := func(h *hdrhistogram.Histogram) map[string]int64 {
@@ -310,7 +328,7 @@
 			"p99": h.ValueAtQuantile(99), "max": h.Max()}
 	}
 	text, err := json.Marshal(map[string]any{
-		"clients": s.door.Counts, "workers": s.fleet.Counts, "watches": s.list.Calls, "in_hand": s.door.InHand(),
+		"invocations": s.book.Figures(s.fleet.Listed(), s.core.Avoided()), "clients": s.door.Counts, "workers": s.fleet.Counts, "watches": s.list.Calls, "in_hand": s.door.InHand(),
 		"out": s.fleet.Out(), "panics": s.panics, "sockets": s.ours.Used() + s.theirs.Used(), "served_us": spread(s.waits),
 		"decided_us": spread(s.thinks),
 	})
--- a/cmd/stoatweir/service_test.go
+++ b/cmd/stoatweir/service_test.go
@@ -138,7 +138,7 @@
 			time.Sleep(time.Millisecond)
 		}
 	}
-	hold("b", `"TakenIn":2`)
+	hold("b", `"Taken":2`)
 	s.loop.Put(breaks{s})
 	if got := <-answer; got != "HTTP/1.1 500 Internal Server Error " {
 		t.Error("in hand of a broken module:", got)
@@ -173,7 +173,7 @@
 	if len(moved) > 0 {
 		t.Error("one move, more than one watch")
 	}
-	hold("2", `"TakenIn":5`)
+	hold("2", `"Taken":5`)
 	s.loop.Order(order{s, s.stop})
 	orders <- syscall.SIGHUP
 	if got := exchange(node, "GET /-/ready HTTP/1.1\r\n\r\n"); got != "HTTP/1.1 503 Service Unavailable " {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -242,6 +242,16 @@
 // Log is a line for the people on call.
 type Log struct{ Text string }
 
+// Avoided counts the listed workers that are set aside now.
+func (d *Dispatcher) Avoided() (n int) {
+	for i := range d.list {
+		if p := &d.list[i]; p.Standing == Ready && p.worker != nil && p.worker.aside {
+			n++
+		}
+	}
+	return n
+}
+
 // The parts: each has an inbox, and they talk only by notes in inboxes, which one loop empties.
 
 // house is what all parts share, with the few figures of the deployment that every worker's book needs.
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -14,6 +14,7 @@
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
 	"stoatweir/internal/http1"
+	"stoatweir/internal/ledger"
 	"stoatweir/internal/life"
 	"stoatweir/internal/settings"
 	"stoatweir/internal/workers"
@@ -42,9 +43,9 @@
 	maxBudget, digits = 1e6, "0123456789" // of a budget: seconds, and what it is written in
 )
 
-// Counts of what was taken in and how it was answered.
+// Counts of what else happens at the door; invocations stand in the ledger.
 type Counts struct {
-	Connections, TakenIn, Succeeded, Throttled, Errored, Left, Overdue, Malformed, Crowded, Silent int
+	Connections, Overdue, Malformed, Crowded, Silent int
 }
 
 // Door is where clients and workers' news come in.
@@ -62,11 +63,13 @@
 	Foreign func(id string) bool
 	Holds   func(id string, holds bool)
 	Counts  Counts
+	Ledger  *ledger.Ledger
 
 	loop       *conn.Loop
 	share      *conn.Share
 	site       settings.Site
 	operations map[string]int
+	classes    []int // of the ledger, by operation
 	tenants    map[string]int
 	listener   net.Listener
 	more       chan struct{} // lets the listener accept one more
@@ -83,18 +86,20 @@
 
 type inHand struct {
 	id      string
+	class   int // in the ledger
 	visit   *visit
 	came    time.Duration
 	overdue *conn.Alarm
 }
 
 // New makes a door that is shut and has no room yet.
-func New(loop *conn.Loop, site settings.Site, share *conn.Share) *Door {
+func New(loop *conn.Loop, site settings.Site, share *conn.Share, book *ledger.Ledger) *Door {
 	d := &Door{loop: loop, share: share, site: site, operations: map[string]int{}, tenants: map[string]int{},
 		inHand: map[dispatch.InvID]*inHand{}, ids: map[string]bool{}, visits: map[*visit]struct{}{},
-		more: make(chan struct{}, 1)}
+		more: make(chan struct{}, 1), Ledger: book}
 	for i, name := range site.Operations {
 		d.operations[name] = i
+		d.classes = append(d.classes, book.Class(name))
 	}
 	for i, name := range site.Tenants {
 		d.tenants[name] = i
@@ -175,9 +180,8 @@
 // Deliver is the answer with a worker's result.
 func (d *Door) Deliver(inv dispatch.InvID, result string) {
 	if j := d.inHand[inv]; j != nil {
-		d.Counts.Succeeded++
 		d.Served(d.loop.Now() - j.came)
-		d.answer(inv, 200, []byte(result))
+		d.answer(inv, ledger.Succeeded, 200, []byte(result))
 	}
 }
 
@@ -186,31 +190,31 @@
 	if d.inHand[inv] == nil {
 		return
 	}
-	d.Counts.Throttled++
 	var fields []http1.Field
 	if after > 0 {
 		fields = []http1.Field{{Name: "Retry-After", Value: strconv.FormatFloat(after.Seconds(), 'f', -1, 64)}}
 	}
-	d.answer(inv, 503, nil, fields...)
+	d.answer(inv, ledger.Declined, 503, nil, fields...)
 }
 
 // Fail promises nothing.
 func (d *Door) Fail(inv dispatch.InvID) {
 	if d.inHand[inv] != nil {
-		d.Counts.Errored++
-		d.answer(inv, 500, nil)
+		d.answer(inv, ledger.Aborted, 500, nil)
 	}
 }
 
-func (d *Door) answer(inv dispatch.InvID, status int, body []byte, fields ...http1.Field) {
+func (d *Door) answer(inv dispatch.InvID, how ledger.Disposition, status int, body []byte, fields ...http1.Field) {
 	v := d.inHand[inv].visit
-	d.forget(inv)
+	d.forget(inv, how)
 	v.inv = 0
 	v.answer(status, body, fields...)
 }
 
-func (d *Door) forget(inv dispatch.InvID) {
+// forget is where every invocation ends, once.
+func (d *Door) forget(inv dispatch.InvID, how ledger.Disposition) {
 	j := d.inHand[inv]
+	d.Ledger.End(j.class, how)
 	j.overdue.Stop()
 	delete(d.inHand, inv)
 }
@@ -299,8 +303,7 @@
 	delete(d.visits, v)
 	v.slow.Stop()
 	if v.inv != 0 && d.Owed(v.inv) {
-		d.Counts.Left++
-		d.forget(v.inv)
+		d.forget(v.inv, ledger.Abandoned)
 		d.Event(dispatch.Withdrawn{Inv: v.inv})
 	}
 }
@@ -495,6 +498,8 @@
 		return
 	case len(d.inHand) >= d.most, !d.Manner().Takes:
 		d.Counts.Crowded++
+		d.Ledger.Took(d.classes[operation])
+		d.Ledger.End(d.classes[operation], ledger.Declined)
 		v.last = true // the descriptor is wanted: what waits to be accepted counts as taken, workers' news among it
 		v.answer(503, nil)
 		return
@@ -506,9 +511,9 @@
 	now := d.loop.Now()
 	givenUp := now + budget - early // a request's time counts from its last byte
 	d.last++
-	d.Counts.TakenIn++
+	d.Ledger.Took(d.classes[operation])
 	v.inv = d.last
-	j := &inHand{id: id, visit: v, came: now}
+	j := &inHand{id: id, class: d.classes[operation], visit: v, came: now}
 	inv := v.inv
 	j.overdue = d.loop.After(givenUp+overdue-now, func() {
 		d.Counts.Overdue++
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -3,13 +3,16 @@
 import (
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"slices"
 	"strings"
+	"testing"
 	"time"
 
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
+	"stoatweir/internal/ledger"
 	"stoatweir/internal/life"
 	"stoatweir/internal/settings"
 	"stoatweir/internal/workers"
@@ -24,7 +27,7 @@
 		panic(err)
 	}
 	l = conn.NewLoop(time.Now())
-	d = New(l, site, l.Share(40))
+	d = New(l, site, l.Share(40), ledger.New())
 	d.Resize(most)
 	d.Relay = func([]byte, func(bool)) bool { return false }
 	d.Foreign, d.Holds = func(string) bool { return false }, func(string, bool) {}
@@ -124,7 +127,7 @@
 	ask(l, addr, strings.Replace(closing, "9b1f", "9b20", 1))
 	d.Free("9b1f", false)
 	ask(l, addr, strings.NewReplacer("250000", "lots", "slots=2", "slots=-2", "2.500", "900", "X-Caller: oak", "X-Odd: 1").Replace(closing))
-	fmt.Printf("%+v\n", d.Counts)
+	fmt.Printf("%+v %+v\n", d.Counts, d.Ledger.Figures(0, 0).Classes)
 	// Output:
 	// job 9b1f POST /render/7f3a?x=1 [{X-Call-Id 9b1f}] body
 	// inv 1: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
@@ -138,7 +141,7 @@
 	// inv 3: operation 0 tenant 0 slots 1 hint 0 budget 5s
 	// owed: 0
 	// "500 Internal Server Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	// {Connections:3 TakenIn:3 Succeeded:1 Throttled:1 Errored:1 Left:0 Overdue:0 Malformed:0 Crowded:0 Silent:0}
+	// {Connections:3 Overdue:0 Malformed:0 Crowded:0 Silent:0} [{Name:render Taken:3 Ended:[1 1 1 0 0]} {Name:sale Taken:0 Ended:[0 0 0 0 0]}]
 }
 
 // What makes no sense gets a plain status, and nothing of it reaches the decisions.
@@ -162,7 +165,7 @@
 		ask(l, addr, strings.Replace(closing, change[0], change[1], 1))
 	}
 	ask(l, addr, strings.Replace(strings.Replace(closing, "render", "sale", 2), "Content-Length", "Idempotency-Key: a\tb\r\nContent-Length", 1))
-	fmt.Println(d.Counts.TakenIn, d.Counts.Malformed)
+	fmt.Println(len(d.Ledger.Figures(0, 0).Classes), d.Ledger.Figures(0, 0).Classes[0].Taken, d.Counts.Malformed)
 	// Output:
 	// "/unheard/" "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// "Class: unheard" "404 Not Found\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -193,7 +196,7 @@
 	// "" "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// "/sale/1 HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-C" "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	// 0 29
+	// 2 0 29
 }
 
 // News is answered whatever it is about, and read in whole.
@@ -240,7 +243,7 @@
 	until(l, "the second job", func() bool { return d.InHand() == 2 })
 	ask(l, addr, strings.Replace(closing, "9b1f", "9b22", 1))
 	c.Close()
-	fmt.Printf("%+v\n", d.Counts)
+	fmt.Printf("%+v %+v\n", d.Counts, d.Ledger.Figures(0, 0).Classes)
 	// Output:
 	// job 9b1f POST /render/7f3a?x=1 [{X-Call-Id 9b1f}] body
 	// inv 1: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
@@ -256,7 +259,7 @@
 	// job 9b21 POST /render/7f3a?x=1 [{X-Call-Id 9b21}] body
 	// inv 4: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
 	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	// {Connections:7 TakenIn:4 Succeeded:0 Throttled:0 Errored:1 Left:1 Overdue:1 Malformed:2 Crowded:1 Silent:0}
+	// {Connections:7 Overdue:1 Malformed:2 Crowded:1 Silent:0} [{Name:render Taken:5 Ended:[0 1 1 1 0]} {Name:sale Taken:0 Ended:[0 0 0 0 0]}]
 }
 
 // Half requests on more connections than there are descriptors for don't keep others out.
@@ -446,3 +449,81 @@
 	// ""
 	// "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 }
+
+// Whatever becomes of invocations, in any order: what was taken in has succeeded, been declined, aborted, abandoned, or is
+// outstanding, and the ledger says of each what its client was told.
+func TestLedgerOverRandomHistories(t *testing.T) {
+	for seed := range int64(20) {
+		l, d, addr, shut := open(3)
+		d.Event, d.Took = func(dispatch.Event) {}, func(*workers.Invocation) {}
+		rng, told := rand.New(rand.NewSource(seed)), make(chan int, 100)
+		asked, gone := 0, 0
+		heard := map[int]int{}
+		step := func() bool {
+			for len(told) > 0 {
+				heard[<-told]++
+			}
+			answered := 0
+			for _, n := range heard {
+				answered += n
+			}
+			f := d.Ledger.Figures(0, 0)
+			sum := f.Outstanding
+			for _, n := range f.Classes[0].Ended {
+				sum += n
+			}
+			if sum != f.Classes[0].Taken || f.Outstanding != d.InHand() {
+				t.Fatalf("seed %d: %+v with %d in hand", seed, f, d.InHand())
+			}
+			if rest := d.Rest(); len(rest) > 0 {
+				inv := rest[rng.Intn(len(rest))]
+				switch rng.Intn(6) {
+				case 0:
+					d.Deliver(inv, "made")
+				case 1:
+					d.Throttle(inv, 0)
+				case 2:
+					d.Fail(inv)
+				}
+			}
+			if asked < 40 && rng.Intn(2) == 0 {
+				leaves := rng.Intn(8) == 0
+				if asked++; leaves {
+					gone++
+				}
+				go hand(addr, fmt.Sprint("id", asked), leaves, told)
+			}
+			return asked == 40 && answered+gone == asked && d.InHand() == 0 && !d.Busy()
+		}
+		l.After(0, func() {})
+		until(l, "all answers", func() bool { l.After(100*time.Microsecond, func() {}); return step() })
+		ended := d.Ledger.Figures(0, 0).Classes[0].Ended
+		// Some of those that left had their answer on the way.
+		more, sound := ended[ledger.Abandoned], true
+		for status, how := range map[int]ledger.Disposition{200: ledger.Succeeded, 503: ledger.Declined, 500: ledger.Aborted} {
+			more += ended[how] - heard[status]
+			sound = sound && ended[how] >= heard[status]
+		}
+		if !sound || more > gone {
+			t.Errorf("seed %d: %v, clients heard %v and %d left", seed, ended, heard, gone)
+		}
+		shut()
+	}
+}
+
+// hand hands in an invocation and tells the status of its answer, or leaves without waiting for one.
+func hand(addr, id string, leaves bool, told chan<- int) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		panic(err)
+	}
+	defer c.Close()
+	io.WriteString(c, strings.Replace(strings.Replace(job, "9b1f", id, 1), "HTTP/1.1", "HTTP/1.1\r\nConnection: close", 1))
+	if leaves {
+		return
+	}
+	b, _ := io.ReadAll(c)
+	status := 0
+	fmt.Sscanf(string(b), "HTTP/1.1 %d", &status)
+	told <- status
+}
--- a/internal/conn/ending.go
+++ b/internal/conn/ending.go
@@ -47,6 +47,15 @@
 // Result is the module's word for the ending of a forward or a probe.
 func (e Ending) Result() dispatch.Result { return results[e] }
 
+// Written tells whether the whole request had gone out when it came to that end.
+func (e Ending) Written() bool {
+	switch e {
+	case Closed, Reset, Stale, Garbage:
+		return true
+	}
+	return false
+}
+
 var names = [...]string{"open", "refused", "never up", "crowded", "withheld", "cut short", "closed", "reset",
 	"stale", "stalled", "garbage", "turned away", "handed back", "faulted", "unfit", "lost", "served", "expired", "called off", "unsent"}
 
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,136 @@
+// Package ledger is the one book of what was taken in, how it ended, and what went out. It has neither clock nor I/O.
+package ledger
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Disposition is how an invocation ended.
+type Disposition uint8
+
+const (
+	Succeeded Disposition = iota
+	Declined              // refused: asking again is harmless
+	Aborted               // failed
+	Abandoned             // its client has left
+	Handed                // another process has it now
+	endings   = int(Handed) + 1
+)
+
+// told are the dispositions that operators see, by the names they use.
+var told = []string{"succeeded", "declined", "aborted"}
+
+// Class is one page of the book.
+type Class struct {
+	Name  string
+	Taken int
+	Ended [endings]int
+}
+
+// Outstanding is what was taken and has not ended.
+func (c Class) Outstanding() int {
+	left := c.Taken
+	for _, n := range c.Ended {
+		left -= n
+	}
+	return left
+}
+
+// Ledger is the book. Entries are made where a thing happens, once.
+type Ledger struct {
+	Forwards          int // written whole
+	Applied, Rejected int // configurations, at SIGHUP
+	Changes           int // entries made
+
+	classes []Class
+	at      map[string]int
+}
+
+// New opens a book with a page for each class.
+func New(names ...string) *Ledger {
+	l := &Ledger{at: map[string]int{}}
+	for _, name := range names {
+		l.Class(name)
+	}
+	return l
+}
+
+// Class finds the page of a class, a new one for a new class. A class that vanishes keeps its page, and has it again
+// when it comes back.
+func (l *Ledger) Class(name string) int {
+	at, known := l.at[name]
+	if !known {
+		at = len(l.classes)
+		l.at[name] = at
+		l.classes = append(l.classes, Class{Name: name})
+		l.Changes++
+	}
+	return at
+}
+
+// Took enters an invocation.
+func (l *Ledger) Took(class int) {
+	l.classes[class].Taken++
+	l.Changes++
+}
+
+// End strikes it out.
+func (l *Ledger) End(class int, how Disposition) {
+	l.classes[class].Ended[how]++
+	l.Changes++
+}
+
+// Sent counts a forward that was written whole.
+func (l *Ledger) Sent() {
+	l.Forwards++
+	l.Changes++
+}
+
+// Loaded counts a configuration read anew.
+func (l *Ledger) Loaded(applied bool) {
+	if l.Changes++; applied {
+		l.Applied++
+	} else {
+		l.Rejected++
+	}
+}
+
+// Figures are a copy of the book at one moment, with what others know of that moment.
+type Figures struct {
+	Classes                          []Class
+	Forwards, Applied, Rejected      int
+	Outstanding, Discovered, Ejected int
+}
+
+// Figures copies the book.
+func (l *Ledger) Figures(discovered, ejected int) Figures {
+	f := Figures{Classes: slices.Clone(l.classes), Forwards: l.Forwards, Applied: l.Applied, Rejected: l.Rejected,
+		Discovered: discovered, Ejected: ejected}
+	for _, c := range f.Classes {
+		f.Outstanding += c.Outstanding()
+	}
+	return f
+}
+
+// escape is how the text format writes a label's value.
+var escape = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// Text writes the figures, a line each.
+func (f Figures) Text() string {
+	var b strings.Builder
+	for _, c := range f.Classes {
+		for how, name := range told {
+			fmt.Fprintf(&b, "svc_results_total{service=\"%s\",disposition=\"%s\"} %d\n", escape.Replace(c.Name), name, c.Ended[how])
+		}
+	}
+	for _, v := range []struct {
+		name string
+		n    int
+	}{{"forwards_total", f.Forwards}, {"outstanding", f.Outstanding}, {"discovered", f.Discovered}, {"ejected", f.Ejected},
+		{"sighup_applied_total", f.Applied}, {"sighup_rejected_total", f.Rejected}} {
+		fmt.Fprintf(&b, "svc_%s %d\n", v.name, v.n)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,60 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+)
+
+// The figures as operators see them. A class with strange letters must not break the lines of others; one that has
+// vanished keeps its count, and goes on with it when it comes back.
+func ExampleFigures_Text() {
+	l := New("render", "a\"b\\c\nd")
+	l.Took(l.Class("render"))
+	l.Took(l.Class("render"))
+	l.End(l.Class("render"), Succeeded)
+	l.Took(l.Class("new"))
+	l.End(l.Class("new"), Declined)
+	l.Sent()
+	l.Loaded(false)
+	fmt.Print(l.Figures(3, 1).Text())
+	// Output:
+	// svc_results_total{service="render",disposition="succeeded"} 1
+	// svc_results_total{service="render",disposition="declined"} 0
+	// svc_results_total{service="render",disposition="aborted"} 0
+	// svc_results_total{service="a\"b\\c\nd",disposition="succeeded"} 0
+	// svc_results_total{service="a\"b\\c\nd",disposition="declined"} 0
+	// svc_results_total{service="a\"b\\c\nd",disposition="aborted"} 0
+	// svc_results_total{service="new",disposition="succeeded"} 0
+	// svc_results_total{service="new",disposition="declined"} 1
+	// svc_results_total{service="new",disposition="aborted"} 0
+	// svc_forwards_total 1
+	// svc_outstanding 1
+	// svc_discovered 3
+	// svc_ejected 1
+	// svc_sighup_applied_total 0
+	// svc_sighup_rejected_total 1
+}
+
+// Copies do not change with the book.
+func TestFiguresAreACopy(t *testing.T) {
+	rng := rand.New(rand.NewSource(1))
+	l := New("a", "b")
+	open := []int{}
+	before := l.Figures(0, 0)
+	for range 1000 {
+		if class := rng.Intn(2); rng.Intn(3) > 0 {
+			l.Took(class)
+			open = append(open, class)
+		} else if len(open) > 0 {
+			l.End(open[0], Disposition(rng.Intn(endings)))
+			open = open[1:]
+		}
+		if got := l.Figures(0, 0).Outstanding; got != len(open) {
+			t.Fatal("outstanding", got, "not", len(open))
+		}
+	}
+	if before.Classes[0].Taken != 0 || before.Outstanding != 0 {
+		t.Error("a copy has changed")
+	}
+}
--- a/internal/workers/line.go
+++ b/internal/workers/line.go
@@ -11,9 +11,18 @@
 type ask struct {
 	request func() []byte // at the moment of sending; nil: it is not to be sent any more
 	done    func(m *http1.Message, e conn.Ending)
+	wrote   func() // its last byte has been written; nil: nobody wants to know
 	limit   *conn.Alarm
 }
 
+// out is called where it shows that the last byte has been written, as often as it shows.
+func (a *ask) out() {
+	if a != nil && a.wrote != nil {
+		a.wrote()
+		a.wrote = nil
+	}
+}
+
 // line is a kept connection to a worker; it carries one request at a time.
 type line struct {
 	fleet  *Fleet
@@ -69,6 +78,9 @@
 	a := l.ask
 	l.ask = nil
 	a.limit.Stop()
+	if m != nil || e.Written() {
+		a.out()
+	}
 	a.done(m, e)
 }
 
@@ -121,6 +133,7 @@
 
 // Sent lets an answer that came first take effect.
 func (l *line) Sent(*conn.Conn) {
+	l.ask.out()
 	if l.early != nil {
 		l.park()
 		l.finishEarly()
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -53,6 +53,7 @@
 	Event   func(dispatch.Event)
 	Deliver func(inv dispatch.InvID, result string) // to the client, unless it is gone or has its answer
 	Owed    func(dispatch.InvID) bool               // whether its client still waits for an answer
+	Wrote   func()                                  // a forward has been written whole
 	Counts  Counts
 
 	loop     *conn.Loop
@@ -142,6 +143,7 @@
 	f.byNumber[number{inv.Inv, fwd}], f.byName[name{inv.ID, w.uid}] = o, o
 	o.deadline = f.loop.After(inv.GivenUp-f.loop.Now(), func() { f.end(o, conn.Expired, nil) })
 	o.line = f.ask(w, &ask{
+		wrote: f.Wrote,
 		request: func() []byte {
 			// The connection may have taken its time to come up: nothing is sent to a worker that drains by now.
 			if w.entry.Standing != dispatch.Ready {
@@ -325,5 +327,15 @@
 	return list
 }
 
+// Listed counts the workers of the list, ready and draining.
+func (f *Fleet) Listed() (n int) {
+	for _, w := range f.byUID {
+		if w.entry.Standing != dispatch.Gone {
+			n++
+		}
+	}
+	return n
+}
+
 // Out counts the forwards that are under way.
 func (f *Fleet) Out() int { return len(f.byNumber) }
