--- /dev/null
+++ b/cmd/stoatweir/retune.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"os"
+	"strings"
+
+	"stoatweir/dispatch"
+	"stoatweir/internal/settings"
+)
+
+// reload reads the configuration anew at each order, beside the loop, which must not wait for a disk.
+func (s *service) reload(orders <-chan os.Signal, read func() (settings.Node, error)) {
+	for range orders {
+		node, err := read()
+		s.loop.Order(newer{s, node, err})
+	}
+}
+
+type newer struct {
+	*service
+	node settings.Node
+	err  error
+}
+
+// Take follows a newer configuration, whole or not at all: one that can't be used must not cost the service what it has.
+func (n newer) Take() {
+	s := n.service
+	if n.err == nil {
+		n.err = s.node.Lacks(n.node)
+	}
+	if s.book.Loaded(n.err == nil); n.err != nil {
+		s.log.WithError(n.err).Error("the new configuration can't be used, the old one stays")
+		return
+	}
+	if keys := s.node.Fixed(n.node); len(keys) > 0 {
+		s.log.Warn("changed in the configuration, but only taken over at a start: ", strings.Join(keys, ", "))
+	}
+	s.retune(n.node.Site)
+	if n.node.Discovery != s.node.Discovery {
+		s.log.Info("the watch of the list moves to ", n.node.Discovery)
+		s.node.Discovery = n.node.Discovery
+		s.list.Move(n.node.Discovery)
+	}
+	s.node.Text = n.node.Text
+	s.log.Info("the new configuration is in use")
+}
+
+// retune takes newer settings over. An index of an operation is used again only once nothing is under way under it.
+func (s *service) retune(newer settings.Site) {
+	newer.Renumber(s.list.Zone, s.list.Kind)
+	under := map[int]bool{}
+	for _, j := range s.invs {
+		under[j.operation] = true
+	}
+	site, from := s.site.Retune(newer, func(index int) bool { return !under[index] })
+	rules := &site.Deployment.Rules
+	rules.AskWithin = min(rules.AskWithin, toldWithin)
+	s.site = site
+	s.door.Retune(site)
+	s.fleet.Retune(site)
+	s.events = append(s.events, dispatch.Retuned{Deployment: site.Deployment, From: from})
+}
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -3,10 +3,8 @@
 import (
 	"encoding/json"
 	"maps"
-	"os"
 	"runtime/debug"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -76,6 +74,7 @@
 // tracked is an invocation while the module may still speak of it.
 type tracked struct {
 	*workers.Invocation
+	operation     int
 	forwards, out int
 }
 
@@ -93,7 +92,9 @@
 		waits: hdrhistogram.New(1, time.Minute.Microseconds(), 3), thinks: hdrhistogram.New(1, 1e7, 2)}
 	event := func(e dispatch.Event) { s.events = append(s.events, e) }
 	s.door.Event, s.fleet.Event = event, event
-	s.door.Took = func(j *workers.Invocation) { s.invs[j.Inv] = &tracked{Invocation: j} }
+	s.door.Took = func(j *workers.Invocation, operation int) {
+		s.invs[j.Inv] = &tracked{Invocation: j, operation: operation}
+	}
 	s.door.News, s.door.Report = s.fleet.Take, s.report
 	s.door.Relay, s.door.Foreign, s.door.Holds = s.relay, s.foreign, s.holds
 	s.door.Served = func(t time.Duration) { s.waits.RecordValue(t.Microseconds()) }
@@ -158,37 +159,6 @@
 	s.events = append(s.events, list.Listing())
 }
 
-// reload reads the configuration anew at each order, beside the loop, which must not wait for a disk.
-func (s *service) reload(orders <-chan os.Signal, read func() (settings.Node, error)) {
-	for range orders {
-		node, err := read()
-		s.loop.Put(newer{s, node, err})
-	}
-}
-
-type newer struct {
-	*service
-	node settings.Node
-	err  error
-}
-
-// Take follows a newer configuration. One that can't be used must not cost the service what it has.
-func (n newer) Take() {
-	s := n.service
-	if n.err != nil {
-		s.log.WithError(n.err).Error("the new configuration can't be used, the old one stays")
-		return
-	}
-	if keys := s.node.Fixed(n.node); len(keys) > 0 {
-		s.log.Warn("changed in the configuration, but only taken over at a start: ", strings.Join(keys, ", "))
-	}
-	if n.node.Discovery != s.node.Discovery {
-		s.log.Info("the watch of the list moves to ", n.node.Discovery)
-		s.node.Discovery = n.node.Discovery
-		s.list.Move(n.node.Discovery)
-	}
-}
-
 // decide asks the module for as long as something has happened; what it orders can make things happen.
 func (s *service) decide() {
 	if s.node.Admin != "" && s.publishing == nil && (len(s.events) > 0 || s.book.Changes != s.published) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -47,32 +47,35 @@
 
 // New starts an instance. The deployment is turned into the figures that decisions use and is not kept.
 func New(dep Deployment, seed int64) *Dispatcher {
-	d := &Dispatcher{workerAt: map[WorkerID]int{}, invAt: map[InvID]int{}, asks: !dep.Pushed,
-		within: dep.Rules.AskWithin, me: dep.Me,
-		peers: float64(max(1, dep.Peers, dep.Me+1))} // told too few, those with higher numbers know better
-	d.house = house{rng: rand.New(rand.NewSource(seed)), probes: dep.Allowed.Probes, window: dep.Rules.Fall,
-		progress: dep.Progress, tellsStart: dep.TellsStart, coldFrom: dep.Rules.ColdFrom,
-		warmAfter: dep.Rules.WarmAfter}
+	d := &Dispatcher{workerAt: map[WorkerID]int{}, invAt: map[InvID]int{}}
+	d.rng = rand.New(rand.NewSource(seed))
 	d.inbox = inbox{house: &d.house, read: d.read}
-	if d.me < 0 { // not told: a lot of our own serves as well, with others by chance
+	d.desk = desk{inbox: inbox{house: &d.house, read: d.desk.read}, door: d, arrivals: samples{0}, size: few,
+		refused: map[[3]int][2]time.Duration{}, credit: few, paces: map[int]samples{}, paced: map[int]float64{}}
+	if d.tune(Retuned{Deployment: dep}); d.me < 0 { // not told: one of our own serves as well, others by chance
 		d.me = d.rng.Intn(max(1, dep.Peers))
 	}
 	// The list service takes only so many calls at once: the first are spread, inside the stated time.
 	d.askAt = time.Duration(d.rng.Float64() * min(float64(d.within/2), (d.peers-1)*float64(beat)))
-	d.desk = desk{inbox: inbox{house: &d.house, read: d.desk.read}, door: d, zone: dep.Zone,
-		cancels: dep.Allowed.Cancel, mostOut: dep.Allowed.MaxOut, mostForwards: max(1, dep.Allowed.MaxForwards),
-		after: min(dep.Allowed.MaxRetryAfter, awaySpan), refused: map[[3]int][2]time.Duration{},
-		each: probePoints / max(dep.ProbePrice, probePoints/4), arrivals: samples{0}, size: few, credit: few,
-		paces: map[int]samples{}, paced: map[int]float64{}, peers: d.peers,
-		multiple: max(1, dep.Rules.FallMultiple), budget: dep.Rules.FallMultiple * dep.Rules.Fall.Seconds()}
-	for _, o := range dep.Operations {
-		d.desk.ops = append(d.desk.ops, operation{weight: cmp.Or(max(0, o.BilledValue), 1), stretch: o.Stretch,
-			objective: o.LatencyObjective, window: o.DedupWindow, late: o.LateValue > 0, effect: o.Effect,
-			scope: o.Scope, kind: o.Kind})
-	}
 	return d
 }
 
+// tune takes over what a deployment tells. Invocations under way keep the operation under which they came.
+func (d *Dispatcher) tune(n Retuned) {
+	h, k, dep := &d.house, &d.desk, n.Deployment
+	h.probes, h.progress, h.tellsStart = dep.Allowed.Probes, dep.Progress, dep.TellsStart
+	h.window, h.coldFrom, h.warmAfter = dep.Rules.Fall, dep.Rules.ColdFrom, dep.Rules.WarmAfter
+	if d.asks, d.within = !dep.Pushed, dep.Rules.AskWithin; dep.Me >= 0 || n.From == nil {
+		d.me = dep.Me
+	}
+	d.peers = float64(max(1, dep.Peers, dep.Me+1)) // told too few, those with higher numbers know better
+	k.zone, k.cancels, k.mostOut, k.peers = dep.Zone, dep.Allowed.Cancel, dep.Allowed.MaxOut, d.peers
+	k.mostForwards, k.after = max(1, dep.Allowed.MaxForwards), min(dep.Allowed.MaxRetryAfter, awaySpan)
+	k.each, k.multiple = probePoints/max(dep.ProbePrice, probePoints/4), max(1, dep.Rules.FallMultiple)
+	k.budget = dep.Rules.FallMultiple * dep.Rules.Fall.Seconds()
+	k.ops = n.operations(k.ops)
+}
+
 // Handle takes the events of one moment and gives back what is to be done, good until the next call.
 func (d *Dispatcher) Handle(now time.Duration, events []Event) []Action {
 	d.now, d.out = now, d.out[:0]
@@ -129,6 +132,8 @@
 		d.next(n)
 	case Listing:
 		d.follow(n)
+	case Retuned:
+		d.tune(n)
 	}
 }
 
--- /dev/null
+++ b/dispatch/retune_test.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+)
+
+// An operation becomes stricter while an invocation of it is out: that one may still go elsewhere as it came, a new one may
+// not. What was learned of it goes on with the new one.
+func Example_retunedEffect() {
+	dep := shop()
+	p := start(dep, ready('a', 0), ready('b', 0))
+	p.quiet = true
+	for n := InvID(1); n <= 5; n++ {
+		p.at(p.now+10*ms, job(n, 0, 0.1), free('a', 1))
+		p.at(p.now+200*ms, p.end(n, 0, Succeeded))
+	}
+	p.lines = nil
+	p.at(p.now+10*ms, job(11, 0, 0.1))
+	p.tell("before")
+	strict := dep.Operations[0]
+	strict.Effect = NonIdempotent
+	dep.Operations = append(dep.Operations, strict)
+	p.at(p.now+10*ms, Retuned{Deployment: dep, From: []int{0, 1, 2, 0}}, job(12, 3, 0.1))
+	p.tell("after")
+	p.at(p.now+10*ms, p.end(11, 0, Broken), p.end(12, 0, Broken))
+	p.tell("both break")
+	ops := p.d.desk.ops
+	fmt.Println(len(ops[3].ratios) >= 5, len(ops[1].ratios))
+	ops[3].ratios.add(99)
+	fmt.Println(ops[0].ratios.sum() < 99)
+	// Output:
+	// before: 11 to a
+	// after: 12 to b
+	// both break: 12 errored; 11 to b
+	// true 0
+	// true
+}
+
+// Fewer forwards are allowed: what has had as many gets no more, whenever it came. Copies and cancels follow as well.
+func Example_retunedLimits() {
+	dep := shop()
+	p := start(dep, ready('a', 0), ready('b', 0), ready('c', 0))
+	p.quiet = true
+	p.at(10*ms, job(1, 0, 0.1))
+	p.at(20*ms, p.end(1, 0, Full))
+	p.tell("before")
+	dep.Allowed.MaxForwards, dep.Allowed.MaxRetryAfter = 2, 0
+	p.at(30*ms, Retuned{Deployment: dep, From: []int{0, 1, 2}})
+	p.at(40*ms, p.end(1, 1, Full))
+	p.tell("after")
+	fmt.Println(p.d.desk.mostForwards, p.d.desk.cancels, p.d.desk.peers, p.d.me)
+	dep.Allowed.Cancel, dep.Peers, dep.Me = false, 7, -1
+	p.at(50*ms, Retuned{Deployment: dep, From: []int{0, 1, 2}})
+	fmt.Println(p.d.desk.mostForwards, p.d.desk.cancels, p.d.desk.peers, p.d.me)
+	// Output:
+	// before: 1 to c; 1 to a
+	// after: 1 throttled, back at once
+	// 2 true 1 0
+	// 2 false 7 0
+}
+
+// The worker that is avoided is counted while it is, and while it is listed.
+func Example_avoided() {
+	p := start(shop(), ready('a', 0), ready('b', 0))
+	p.quiet = true
+	p.at(10*ms, job(1, 0, 0.1))
+	p.at(20*ms, p.end(1, 0, Failed))
+	fmt.Println(p.d.Avoided(), p.lines)
+	gone := ready('b', 0)
+	gone.Standing = Gone
+	p.at(30*ms, Listing{Form: ListDelta, Entries: []Entry{gone}})
+	fmt.Println(p.d.Avoided())
+	p.at(time.Second, Due{})
+	// Output:
+	// 1 [1 to b worker b is set aside: fails what it gets 1 to a]
+	// 0
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math/rand"
 	pcg "math/rand/v2"
 	"net/netip"
@@ -106,6 +107,7 @@
 func (e Answer) About() (InvID, WorkerID)    { return 0, e.Worker }
 func (e Due) About() (InvID, WorkerID)       { return 0, WorkerID{} }
 func (e Listing) About() (InvID, WorkerID)   { return 0, WorkerID{} }
+func (e Retuned) About() (InvID, WorkerID)   { return 0, WorkerID{} }
 
 // Arrival is a new invocation, which from now on is owed one final answer.
 type Arrival struct {
@@ -206,6 +208,14 @@
 	Start            uint64
 }
 
+// Retuned brings all that a deployment tells anew. An operation stays at its index for as long as invocations of it are
+// under way. From names, for each, the earlier one whose learning it goes on with: itself where it has not changed, -1
+// for none.
+type Retuned struct {
+	Deployment
+	From []int
+}
+
 // Action is something that the caller is to do, in the order given.
 type Action any
 
@@ -443,6 +453,24 @@
 	most              time.Duration // the longest a client has been ready to wait
 }
 
+// operations gives those that have changed or are new what was learned of the ones before.
+func (n Retuned) operations(old []operation) (ops []operation) {
+	for i, o := range n.Operations {
+		op := operation{weight: cmp.Or(max(0, o.BilledValue), 1), stretch: o.Stretch, objective: o.LatencyObjective,
+			window: o.DedupWindow, late: o.LateValue > 0, effect: o.Effect, scope: o.Scope, kind: o.Kind}
+		switch {
+		case i >= len(n.From) || n.From[i] < 0:
+		case n.From[i] == i:
+			op = old[i]
+		default:
+			was := old[n.From[i]]
+			op.ratios, op.sizes, op.rough = slices.Clone(was.ratios), slices.Clone(was.sizes), slices.Clone(was.rough)
+		}
+		ops = append(ops, op)
+	}
+	return ops
+}
+
 type inv struct {
 	need
 	id                   InvID
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -51,9 +51,9 @@
 // Door is where clients and workers' news come in.
 type Door struct {
 	Event  func(dispatch.Event)
-	Took   func(*workers.Invocation) // an invocation has come; the event follows
-	News   func(workers.News) bool   // of a worker; false: of nothing that is known here
-	Served func(time.Duration)       // how long a client waited for its worker's result
+	Took   func(j *workers.Invocation, operation int) // an invocation has come; the event follows
+	News   func(workers.News) bool                    // of a worker; false: of nothing that is known here
+	Served func(time.Duration)                        // how long a client waited for its worker's result
 	Manner func() life.Manner
 	Report func() []byte // the counters, for people
 	// The other process that serves at our address, while there is one. Relay passes news on that is for nobody here, and
@@ -94,16 +94,10 @@
 
 // New makes a door that is shut and has no room yet.
 func New(loop *conn.Loop, site settings.Site, share *conn.Share, book *ledger.Ledger) *Door {
-	d := &Door{loop: loop, share: share, site: site, operations: map[string]int{}, tenants: map[string]int{},
+	d := &Door{loop: loop, share: share,
 		inHand: map[dispatch.InvID]*inHand{}, ids: map[string]bool{}, visits: map[*visit]struct{}{},
 		more: make(chan struct{}, 1), Ledger: book}
-	for i, name := range site.Operations {
-		d.operations[name] = i
-		d.classes = append(d.classes, book.Class(name))
-	}
-	for i, name := range site.Tenants {
-		d.tenants[name] = i
-	}
+	d.Retune(site)
 	share.Freed = func() {
 		if d.waits {
 			d.waits = false // before anything that may free another one: one leave at a time
@@ -113,6 +107,18 @@
 	return d
 }
 
+// Retune follows newer settings. What is in hand keeps the class under which it came.
+func (d *Door) Retune(site settings.Site) {
+	d.site, d.operations, d.classes = site, site.Current, nil
+	for _, name := range site.Operations {
+		d.classes = append(d.classes, d.Ledger.Class(name))
+	}
+	d.tenants = map[string]int{}
+	for i, name := range site.Tenants {
+		d.tenants[name] = i
+	}
+}
+
 type accepted struct {
 	*Door
 	net net.Conn
@@ -523,7 +529,7 @@
 	d.inHand[inv], d.ids[id] = j, true
 	d.Holds(id, true)
 	d.Took(&workers.Invocation{Inv: inv, ID: id, Method: m.Method, Target: m.Target, Fields: onward(m), Body: m.Body,
-		GivenUp: givenUp})
+		GivenUp: givenUp}, operation)
 	arrival := d.arrival(m)
 	arrival.Inv, arrival.Operation, arrival.Budget = inv, operation, givenUp-now
 	d.Event(arrival)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -109,6 +109,12 @@
 		ids: map[string]dispatch.WorkerID{}, taken: map[dispatch.WorkerID]bool{}}
 }
 
+// Zone is the index of a zone's name; one not met yet gets one.
+func (w *Watcher) Zone(name string) int { return w.zones.at(name) }
+
+// Kind is the same of a kind of workers.
+func (w *Watcher) Kind(name string) int { return w.kinds.at(name) }
+
 // targets is one line of a watch, and the form of the whole list too.
 type targets struct {
 	Rev     uint64
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"reflect"
 	"strconv"
 )
 
@@ -17,9 +16,10 @@
 	MemoryMB, Sockets       int
 	Known                   json.RawMessage // the list of workers as last had, in discovery's form
 	Site                    Site
+	Text                    []byte // as it was read
 }
 
-// Fixed lists the keys whose values in a newer file wait for the next start: only discovery changes under way.
+// Fixed lists the keys whose values in a newer file wait for the next start.
 func (n Node) Fixed(newer Node) (keys []string) {
 	for _, v := range []struct {
 		key  string
@@ -27,7 +27,7 @@
 	}{{"name", n.Name == newer.Name}, {"listen", n.Listen == newer.Listen},
 		{"admin", n.Admin == newer.Admin},
 		{"limits", n.MemoryMB == newer.MemoryMB && n.Sockets == newer.Sockets},
-		{"settings", reflect.DeepEqual(n.Site, newer.Site)}} {
+		{"settings.Discovery", n.Site.Deployment.Pushed == newer.Site.Deployment.Pushed}} {
 		if !v.same {
 			keys = append(keys, v.key)
 		}
@@ -68,7 +68,7 @@
 	if err := decode(text, &in); err != nil {
 		return n, err
 	}
-	n = Node{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Admin: in.Admin, MemoryMB: in.Limits.MemoryMB,
+	n = Node{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Admin: in.Admin, Text: text, MemoryMB: in.Limits.MemoryMB,
 		Sockets: in.Limits.Sockets, Known: in.Known}
 	for _, v := range []struct {
 		to        *string
@@ -118,5 +118,10 @@
 	if len(n.Site.Operations) == 0 {
 		return n, fmt.Errorf("settings: Operations: there are none")
 	}
+	for i, name := range n.Site.Operations {
+		if name == "" { // nobody could ask for it
+			return n, fmt.Errorf("settings: Operations[%d].Name: is not set", i)
+		}
+	}
 	return n, nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,7 @@
 	ConnIdle, ConnTimeout             time.Duration
 	Timeouts                          []time.Duration // of the operations' clients; 0: not told
 	LongestTimeout                    time.Duration
+	Current                           map[string]int // the operations that newcomers may have, by name
 }
 
 // site is the settings text, with the keys that have a meaning here.
@@ -41,8 +42,9 @@
 	MyNumber          *int
 	Dcs, Kinds        []string
 	Operations        []struct {
-		Name, DedupScope, Effect                                                               string
-		ClientTimeout, BilledValue, DedupWindow, LateBilledValue, LatencyObjective, AimStretch float64
+		Name, DedupScope, Effect                                                string
+		BilledValue, DedupWindow, LateBilledValue, LatencyObjective, AimStretch float64
+		ClientTimeout                                                           *float64
 	}
 	FamilyInfo struct {
 		ClassKind          []int
@@ -53,7 +55,7 @@
 	}
 	Limits struct {
 		Cancel, Probes, RetryAfter, SecondCopies bool
-		MostForwards                             int
+		MostForwards                             *int
 		MaxRetryAfter, ConnIdle, ConnectTimeout  float64
 	}
 	Prices struct{ Probe float64 }
@@ -100,13 +102,18 @@
 		TellsStart: in.FamilyInfo.TellsStart, Progress: Span(in.FamilyInfo.Progress),
 		ProbePrice: in.Prices.Probe,
 		Allowed: dispatch.Allowances{
-			Probes: in.Limits.Probes, Cancel: in.Limits.Cancel, MaxForwards: in.Limits.MostForwards, MaxOut: 1,
+			Probes: in.Limits.Probes, Cancel: in.Limits.Cancel, MaxOut: 1,
 		},
 		Rules: dispatch.Rules{
 			AskWithin: Span(in.Rules.AskWithin), ColdFrom: in.Rules.ColdFrom, WarmAfter: Span(in.Rules.WarmAfter),
 			FallMultiple: in.Rules.FallMultiple, Fall: Span(in.Rules.Fall),
 		},
 	}
+	if most := in.Limits.MostForwards; most != nil {
+		if d.Allowed.MaxForwards = *most; *most <= 0 {
+			return s, fmt.Errorf("settings: Limits.MostForwards: %d is not over 0", *most)
+		}
+	}
 	if in.MyNumber != nil {
 		d.Me = max(-1, *in.MyNumber)
 	}
@@ -119,7 +126,17 @@
 	if in.ExcessBilledValue != nil {
 		d.ExcessValue = *in.ExcessBilledValue
 	}
+	s.Current = map[string]int{}
 	for i, o := range in.Operations {
+		if _, twice := s.Current[o.Name]; twice && o.Name != "" {
+			return s, fmt.Errorf("settings: Operations[%d].Name: %q is there twice", i, o.Name)
+		}
+		timeout := Span(0)
+		if o.ClientTimeout != nil {
+			if timeout = Span(*o.ClientTimeout); timeout <= 0 {
+				return s, fmt.Errorf("settings: Operations[%d].ClientTimeout: %v is not over 0", i, *o.ClientTimeout)
+			}
+		}
 		op := dispatch.Operation{
 			BilledValue: o.BilledValue, LateValue: o.LateBilledValue, LatencyObjective: Span(o.LatencyObjective),
 			Stretch: o.AimStretch, DedupWindow: Span(o.DedupWindow),
@@ -139,9 +156,9 @@
 			op.Stretch = in.FamilyInfo.ClassStretch[i]
 		}
 		d.Operations = append(d.Operations, op)
-		s.Operations = append(s.Operations, o.Name)
-		s.Timeouts = append(s.Timeouts, Span(o.ClientTimeout))
-		s.LongestTimeout = max(s.LongestTimeout, Span(o.ClientTimeout))
+		s.Operations, s.Current[o.Name] = append(s.Operations, o.Name), i
+		s.Timeouts = append(s.Timeouts, timeout)
+		s.LongestTimeout = max(s.LongestTimeout, timeout)
 	}
 	for _, t := range in.Tenants {
 		d.Tenants = append(d.Tenants, dispatch.Tenant{QuotaPerS: t.QuotaPerS, Share: t.Fraction})
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -98,6 +98,9 @@
 		Counts: Counts{Ended: map[string]int{}, Answered: map[string]int{}}}
 }
 
+// Retune follows newer settings.
+func (f *Fleet) Retune(site settings.Site) { f.site = site }
+
 // List follows the list.
 func (f *Fleet) List(list discovery.List) {
 	named := map[string]bool{}
