--- a/cmd/stoatweir/life.go
+++ b/cmd/stoatweir/life.go
@@ -86,10 +86,14 @@
 	now := s.loop.Now()
 	s.door.Follow()
 	m := s.life.At(now)
+	if m.Passes && s.bond != nil && !s.bond.elder {
+		s.pass()
+	}
 	if m.Rests {
 		s.failRest()
 	}
-	if m.Over || m.Leaves && s.door.InHand() == 0 && !s.door.Busy() {
+	waits := m.Passes && !m.Shuts && s.door.Passable()
+	if m.Over || m.Leaves && !waits && s.door.InHand() == 0 && !s.door.Busy() {
 		s.loop.Stop()
 		return
 	}
--- /dev/null
+++ b/cmd/stoatweir/pass.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"slices"
+	"time"
+
+	"stoatweir/dispatch"
+	"stoatweir/internal/clients"
+	"stoatweir/internal/conn"
+	"stoatweir/internal/handover"
+	"stoatweir/internal/http1"
+	"stoatweir/internal/workers"
+)
+
+// keptIn is how long the successor may take to say whether it keeps what is passed.
+const keptIn = time.Second
+
+// legacy is an invocation as it goes from one process to the next: what the door, the fleet and the module know of it.
+// Operations and tenants go by name, workers by uid, times as ages.
+type legacy struct {
+	ID, Method, Target string
+	Fields             []http1.Field
+	Left               time.Duration // until its client stops waiting
+	Name, Tenant       string
+	Operation          dispatch.Operation
+	Timeout            time.Duration
+	Record             dispatch.Resumed
+	Workers            []string // of its tries
+}
+
+// parcel is on its way.
+type parcel struct {
+	*clients.Parcel
+	j      *tracked
+	record dispatch.Resumed
+	late   *conn.Alarm
+}
+
+// pass gives the successor what it may have by now.
+func (s *service) pass() {
+	b := s.bond
+	s.door.Offer(s.may, func(p *clients.Parcel) {
+		if s.bond != b {
+			p.Back()
+			return
+		}
+		b.number++
+		sent := &parcel{Parcel: p}
+		m := handover.Message{Kind: handover.Pass, Number: b.number, Socket: p.Socket,
+			Pass: &handover.Passed{Read: p.Read, News: p.News, Fresh: p.Fresh}}
+		if p.Inv != 0 {
+			sent.j = s.invs[p.Inv]
+			sent.record, _ = s.core.Record(p.Inv)
+			text, err := json.Marshal(s.legacy(sent.j, sent.record))
+			if err != nil {
+				s.log.Error("an invocation can't be passed on: ", err)
+				p.Back()
+				return
+			}
+			m.Pass.Invocation, m.Body = text, sent.j.Body
+			s.fleet.Give(p.Inv, sent.j.forwards)
+			delete(s.invs, p.Inv)
+			s.events = append(s.events, dispatch.Passed{Inv: p.Inv})
+		}
+		number := b.number
+		b.passed[number] = sent
+		// A peer that hangs may still keep it later: only its end is certain.
+		sent.late = s.loop.After(keptIn, b.link.Close)
+		b.link.Send(m)
+	})
+}
+
+// may tells whether an invocation can be passed as it stands: the module has all that has happened, and no forward is on
+// its way.
+func (s *service) may(inv dispatch.InvID) bool {
+	s.decide()
+	j := s.invs[inv]
+	if j == nil || !s.door.Owed(inv) || !s.fleet.Settled(inv, j.forwards) {
+		return false
+	}
+	_, held := s.core.Record(inv)
+	return held
+}
+
+func (s *service) legacy(j *tracked, r dispatch.Resumed) legacy {
+	l := legacy{ID: j.ID, Method: j.Method, Target: j.Target, Fields: j.Fields, Left: j.GivenUp - s.loop.Now(), Record: r,
+		Name: s.site.Operations[j.operation], Operation: s.site.Deployment.Operations[j.operation],
+		Timeout: s.site.Timeouts[j.operation]}
+	if r.Tenant < len(s.site.Tenants) {
+		l.Tenant = s.site.Tenants[r.Tenant]
+	}
+	for _, t := range r.Tries {
+		l.Workers = append(l.Workers, s.fleet.UID(t.Worker))
+	}
+	return l
+}
+
+// kept ends a pass.
+func (b *bond) kept(m handover.Message) {
+	p := b.passed[m.Number]
+	if p == nil {
+		return
+	}
+	delete(b.passed, m.Number)
+	p.late.Stop()
+	if m.OK {
+		p.Kept()
+		return
+	}
+	b.takeBack(p)
+	p.Back()
+}
+
+// takeBack enters an invocation again that was passed on.
+func (b *bond) takeBack(p *parcel) {
+	if p.j == nil {
+		return
+	}
+	s := b.service
+	s.invs[p.Inv] = p.j
+	for fwd, t := range p.record.Tries {
+		if t.Out {
+			s.fleet.Keep(p.j.Invocation, fwd, t.Worker)
+		}
+	}
+	s.events = append(s.events, p.record)
+}
+
+// lost ends all passes that the successor's end has caught under way.
+func (b *bond) lost() {
+	for _, p := range b.passed {
+		p.late.Stop()
+		b.takeBack(p)
+		p.Lost()
+		if p.Inv != 0 {
+			b.events = append(b.events, dispatch.Withdrawn{Inv: p.Inv})
+		}
+	}
+	b.passed = nil
+}
+
+// inherit takes in what the process before passes on, or not.
+func (s *service) inherit(m handover.Message) bool {
+	if m.File == nil || m.Pass == nil {
+		return false
+	}
+	nc, err := net.FileConn(m.File)
+	if err != nil {
+		return false
+	}
+	var j *workers.Invocation
+	var l legacy
+	operation := 0
+	if m.Pass.Invocation != nil {
+		known := false
+		if json.Unmarshal(m.Pass.Invocation, &l) == nil {
+			operation, known = s.heir(&l)
+		}
+		if !known {
+			nc.Close()
+			return false
+		}
+		j = &workers.Invocation{ID: l.ID, Method: l.Method, Target: l.Target, Fields: l.Fields, Body: m.Body,
+			GivenUp: s.loop.Now() + l.Left}
+	}
+	inv, kept := s.door.Inherit(nc, clients.Parcel{Read: m.Pass.Read, News: m.Pass.News, Fresh: m.Pass.Fresh}, j, operation,
+		l.Record.Age)
+	if !kept {
+		nc.Close()
+		return false
+	}
+	if j == nil {
+		return true
+	}
+	t := &tracked{Invocation: j, operation: operation, forwards: len(l.Record.Tries)}
+	s.invs[inv] = t
+	for fwd, try := range l.Record.Tries {
+		if try.Out {
+			t.out++
+			s.fleet.Keep(j, fwd, try.Worker)
+		}
+	}
+	l.Record.Inv, l.Record.Operation = inv, operation
+	s.events = append(s.events, l.Record)
+	return true
+}
+
+// heir finds what an invocation of the process before is here: it must be the same operation to the letter, and its
+// workers must be known, as what may be sent where follows from them.
+func (s *service) heir(l *legacy) (operation int, known bool) {
+	operation, known = s.site.Current[l.Name]
+	if !known || s.site.Deployment.Operations[operation] != l.Operation || s.site.Timeouts[operation] != l.Timeout ||
+		len(l.Workers) != len(l.Record.Tries) {
+		return 0, false
+	}
+	for n, uid := range l.Workers {
+		if l.Record.Tries[n].Worker, known = s.fleet.ID(uid); !known {
+			return 0, false
+		}
+	}
+	if l.Record.Tenant = slices.Index(s.site.Tenants, l.Tenant); l.Record.Tenant < 0 {
+		l.Record.Tenant = len(s.site.Tenants)
+	}
+	return operation, true
+}
--- a/cmd/stoatweir/replace_test.go
+++ b/cmd/stoatweir/replace_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"fmt"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -75,3 +77,46 @@
 	fourth := r.start()
 	r.ready(fourth)
 }
+
+// Work that runs longer than the old process has goes on at its worker, and its client gets the answer on the connection
+// that it has, without a second attempt; idle connections go as well, and none is closed.
+func TestReplacePassesWorkOn(t *testing.T) {
+	r := newRig(t, 3, 5*time.Second)
+	p := r.start()
+	r.ready(p)
+	answers := make(chan string)
+	for n := range 6 {
+		go func() {
+			kept := &keptConn{addr: r.listen}
+			kept.ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+			first := kept.c
+			class, id := []string{"render", "sale"}[n%2], fmt.Sprint("long-", n)
+			status, body := kept.ask(post("/"+class+"/k", "X-Call-Id: "+id+"\r\nX-Call-Class: "+class+"\r\nX-Budget: 10\r\n", id))
+			answers <- fmt.Sprint(status, " ", body, " on the same: ", kept.c == first)
+		}()
+	}
+	idle := &keptConn{addr: r.listen}
+	idle.ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	before := idle.c
+	for p.figures(t)["svc_outstanding"] < 6 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	next := r.start()
+	r.ready(next)
+	p.Process.Signal(syscall.SIGTERM)
+	r.end(p, time.Second)
+	if status, body := idle.ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"); status != 200 || idle.c != before {
+		t.Error("idle connection:", status, body)
+	}
+	for range 6 {
+		if got := <-answers; !strings.HasPrefix(got, "200 made long-") || !strings.HasSuffix(got, "on the same: true") {
+			t.Error(got)
+		}
+	}
+	time.Sleep(2 * publishAfter)
+	if got := next.figures(t); got["svc_outstanding"] != 0 || got[result("render", "succeeded")] != 3 || got[result("sale", "succeeded")] != 3 ||
+		got["svc_forwards_total"] != 0 {
+		t.Error(got)
+	}
+	r.check()
+}
--- a/cmd/stoatweir/successor.go
+++ b/cmd/stoatweir/successor.go
@@ -13,6 +13,7 @@
 	"stoatweir/internal/conn"
 	"stoatweir/internal/handover"
 	"stoatweir/internal/settings"
+	"stoatweir/internal/workers"
 )
 
 const (
@@ -80,10 +81,12 @@
 	asked  map[uint64]*question
 	number uint64
 	ids    map[string]bool // in hand there
+	passed map[uint64]*parcel
 }
 
 // question is news that was passed on.
 type question struct {
+	news  workers.News
 	heard func(bool)
 	late  *conn.Alarm
 }
@@ -104,7 +107,8 @@
 }
 
 func (s *service) tie(link *handover.Link, elder bool) {
-	b := &bond{service: s, link: link, elder: elder, asked: map[uint64]*question{}, ids: map[string]bool{}}
+	b := &bond{service: s, link: link, elder: elder, asked: map[uint64]*question{}, ids: map[string]bool{},
+		passed: map[uint64]*parcel{}}
 	s.bond = b
 	link.Start(func(m handover.Message) { s.loop.Put(word{b, m}) }, func() { s.loop.Put(parted{b}) })
 }
@@ -183,9 +187,11 @@
 	}
 	s.bond = nil
 	s.share(s.node.Sockets, s.node.MemoryMB)
+	p.lost()
 	for _, q := range p.asked {
 		q.late.Stop()
-		q.heard(true) // with its owner gone nobody waits for it any more
+		s.fleet.Take(q.news) // it may have come here meanwhile
+		q.heard(true)        // with its owner gone nobody waits for it any more
 	}
 	if p.elder {
 		s.log.Info("the process before this one has ended")
@@ -199,6 +205,9 @@
 // Take takes a message in.
 func (m word) Take() {
 	s, b := m.service, m.bond
+	if m.File != nil {
+		defer m.File.Close()
+	}
 	if s.bond != b {
 		return
 	}
@@ -216,23 +225,28 @@
 			delete(b.ids, id)
 		}
 	case handover.News:
-		if n, err := s.door.ReadNews(m.Body); err == nil {
-			s.fleet.Take(n)
-		}
-		b.link.Send(handover.Message{Kind: handover.Heard, Number: m.Number})
+		n, err := s.door.ReadNews(m.Body)
+		owned := err == nil && s.fleet.Take(n)
+		b.link.Send(handover.Message{Kind: handover.Heard, Number: m.Number, OK: owned, Unsure: !owned && b.passing(n.ID)})
 	case handover.Heard:
 		if q := b.asked[m.Number]; q != nil {
 			delete(b.asked, m.Number)
 			q.late.Stop()
-			q.heard(true)
+			// What neither had was on its way here, or back, when it was asked for: the answer has come behind it.
+			q.heard(m.OK || s.fleet.Take(q.news) || !m.Unsure && !b.passing(q.news.ID))
 		}
+	case handover.Pass:
+		kept := s.inherit(m.Message)
+		b.link.Send(handover.Message{Kind: handover.Kept, Number: m.Number, OK: kept})
+	case handover.Kept:
+		b.kept(m.Message)
 	default:
 		s.log.Warn(fmt.Sprintf("the other process said %.40q, which means nothing here", m.Kind))
 	}
 }
 
 // relay passes news on that is for nobody here. False: there is nobody who could have it.
-func (s *service) relay(body []byte, heard func(bool)) bool {
+func (s *service) relay(n workers.News, body []byte, heard func(bool)) bool {
 	b := s.bond
 	switch {
 	case b == nil && s.at.shared && s.at.link == nil && s.loop.Now() < unsureFor:
@@ -244,7 +258,7 @@
 	}
 	b.number++
 	number := b.number
-	b.asked[number] = &question{heard, s.loop.After(heardIn, func() {
+	b.asked[number] = &question{n, heard, s.loop.After(heardIn, func() {
 		delete(b.asked, number)
 		heard(false)
 	})}
@@ -252,6 +266,16 @@
 	return true
 }
 
+// passing tells whether an invocation is on its way to the other process.
+func (b *bond) passing(id string) bool {
+	for _, p := range b.passed {
+		if p.j != nil && p.j.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 // foreign tells whether an id is in hand at the other process.
 func (s *service) foreign(id string) bool { return s.bond != nil && s.bond.ids[id] }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -95,7 +95,7 @@
 	id, worker := event.About()
 	at, known := d.workerAt[worker]
 	inv, held := d.invAt[id]
-	if _, is := event.(Arrival); is && !held {
+	if begins(event) && !held {
 		inv, held = d.desk.slot(), true
 		d.invAt[id] = inv
 	}
@@ -234,6 +234,8 @@
 		w.follow(n.Entry)
 	case sent:
 		w.errands = append(w.errands, n.errand)
+	case handed:
+		w.hand(n)
 	case view:
 		w.all = n
 		w.watch()
@@ -507,6 +509,10 @@
 		switch e := n.event.(type) {
 		case Arrival:
 			k.take(n.inv, e)
+		case Resumed:
+			k.resume(n.inv, e)
+		case Passed:
+			k.pass(n.inv)
 		case Outcome:
 			k.ended(n, e)
 		case Streaming:
--- /dev/null
+++ b/dispatch/resume.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import "time"
+
+// This file carries the state of invocations from one instance to another. It decides nothing: what is inherited enters by
+// the same lines as all else.
+
+// Passed says that an invocation is another instance's from now on: nothing is cancelled and no answer is owed here.
+type Passed struct{ Inv InvID }
+
+// Resumed brings an invocation that another instance had. Ages count back from now.
+type Resumed struct {
+	Arrival
+	Waited time.Duration // since its client's first try came
+	Age    time.Duration // since this try came
+	Tries  []Try         // its forwards, in the order sent
+}
+
+// Try is one forward of an invocation.
+type Try struct {
+	Worker            WorkerID
+	Age, Began, Heard time.Duration // since it was sent, began and was last heard of; below 0: it has not, it was not
+	Cost              float64
+	Out, Ran          bool
+	Stuck, Unfit      bool
+}
+
+func (e Passed) About() (InvID, WorkerID)  { return e.Inv, WorkerID{} }
+func (e Resumed) About() (InvID, WorkerID) { return e.Inv, WorkerID{} }
+
+// begins tells whether an event brings an invocation in.
+func begins(e Event) bool {
+	switch e.(type) {
+	case Arrival, Resumed:
+		return true
+	}
+	return false
+}
+
+// Record is an invocation as another instance would have to have it; false: it is not held here any more.
+func (d *Dispatcher) Record(id InvID) (r Resumed, held bool) {
+	i, held := d.invAt[id]
+	if !held || d.desk.invs[i].done {
+		return r, false
+	}
+	j, ago := &d.desk.invs[i], func(t time.Duration) time.Duration { return d.now - t }
+	r = Resumed{Arrival: Arrival{Inv: id, Operation: j.op, Tenant: j.tenant, Budget: j.givenUp - d.now, Hint: j.work,
+		Slots: j.slots, Memory: j.memory}, Waited: ago(j.first), Age: ago(j.came)}
+	for f, t := range j.tries {
+		try := Try{Worker: d.list[t.at].Worker, Age: ago(t.sent), Began: -1, Heard: -1, Out: t.out, Ran: t.ran, Stuck: t.stuck,
+			Unfit: t.unfit}
+		if w := d.list[t.at].worker; w != nil {
+			if e := w.find(i, f); e != nil {
+				if try.Cost = e.cost; e.began > 0 {
+					try.Began = ago(e.began)
+				}
+				if e.heard > 0 {
+					try.Heard = ago(e.heard)
+				}
+			}
+		}
+		r.Tries = append(r.Tries, try)
+	}
+	return r, true
+}
+
+// handed is desk to worker: a forward of ours is another instance's.
+type handed struct{ inv, fwd int }
+
+func (w *worker) hand(n handed) {
+	if e := w.find(n.inv, n.fwd); e != nil {
+		e.end = w.now
+	}
+}
+
+// pass lets an invocation go to another instance.
+func (k *desk) pass(i int) {
+	k.unhold(i)
+	j := &k.invs[i]
+	for f := range j.tries {
+		if t := &j.tries[f]; t.out {
+			t.out = false
+			k.door.list[t.at].worker.put(handed{i, f})
+		}
+	}
+	j.done, j.over = true, true
+	k.spare = append(k.spare, i)
+	k.door.put(freed{j.id})
+}
+
+// resume takes an invocation of another instance in.
+func (k *desk) resume(i int, r Resumed) {
+	k.take(i, r.Arrival)
+	k.unhold(i)
+	j := &k.invs[i]
+	j.first, j.came = k.now-r.Waited, k.now-r.Age
+	for f, t := range r.Tries {
+		at, known := k.door.workerAt[t.Worker]
+		if !known {
+			continue
+		}
+		j.tries = append(j.tries, tried{at: at, sent: k.now - t.Age, out: t.Out, ran: t.Ran, stuck: t.Stuck, unfit: t.Unfit})
+		if t.Unfit {
+			j.unfit++
+		}
+		if !t.Out {
+			continue
+		}
+		e := errand{inv: i, fwd: f, need: j.need, work: j.work, cost: t.Cost, lost: t.Stuck, sent: max(0, k.now-t.Age)}
+		if t.Began >= 0 {
+			e.began = max(1, k.now-t.Began)
+		}
+		if t.Heard >= 0 {
+			e.heard = max(1, k.now-t.Heard)
+		}
+		k.door.meet(at).put(sent{e})
+	}
+	k.again(i)
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -59,7 +59,7 @@
 	// The other process that serves at our address, while there is one. Relay passes news on that is for nobody here, and
 	// tells later whether it was heard there; false: there is nobody to ask. Foreign: an id is in hand there. Holds: one is
 	// here.
-	Relay   func(body []byte, heard func(bool)) bool
+	Relay   func(n workers.News, body []byte, heard func(bool)) bool
 	Foreign func(id string) bool
 	Holds   func(id string, holds bool)
 	Counts  Counts
@@ -75,6 +75,7 @@
 	more       chan struct{} // lets the listener accept one more
 	leave      bool          // it has been let
 	hears      bool          // it may be
+	passing    int           // connections on their way to another process
 	waits      bool          // for a descriptor
 	retry      *conn.Alarm
 	most       int // invocations in hand
@@ -89,6 +90,7 @@
 	class   int // in the ledger
 	visit   *visit
 	came    time.Duration
+	givenUp time.Duration
 	overdue *conn.Alarm
 }
 
@@ -254,7 +256,7 @@
 	d.accept()
 	for v := range d.visits {
 		switch {
-		case v.inv != 0 || v.waits || m.News && v.brings:
+		case v.inv != 0 || v.waits || v.parcel != nil || m.News && v.brings:
 		case m.Sweeps && v.parser.Started() && !v.last:
 			v.malformed(408)
 		case m.Shuts && !v.parser.Started() && v.c.In.Len() == 0 && v.c.Unsent() == 0:
@@ -266,8 +268,12 @@
 // Rest lists the invocations that are owed an answer, oldest first.
 func (d *Door) Rest() []dispatch.InvID { return slices.Sorted(maps.Keys(d.inHand)) }
 
-// Busy tells whether requests are still on their way in, or answers on their way out.
+// Busy tells whether requests are still on their way in, answers on their way out, or connections on their way to another
+// process.
 func (d *Door) Busy() bool {
+	if d.passing > 0 {
+		return true
+	}
 	for v := range d.visits {
 		if v.c.Unsent() > 0 || v.parser.Started() {
 			return true
@@ -288,6 +294,8 @@
 	strays int            // requests in a row that made no sense
 	useful bool           // it has brought an invocation or news
 	brings bool           // the latter
+	parcel *Parcel        // it is on its way to another process
+	stays  bool           // that one would not have it
 }
 
 // Up has nothing to do.
@@ -452,7 +460,7 @@
 		return
 	}
 	v.useful, v.brings = true, true
-	if !d.News(n) && d.Relay(m.Body, v.heard) {
+	if !d.News(n) && d.Relay(n, m.Body, v.heard) {
 		v.waits = true // nothing is acknowledged before its owner has it
 		return
 	}
@@ -519,13 +527,8 @@
 	d.last++
 	d.Ledger.Took(d.classes[operation])
 	v.inv = d.last
-	j := &inHand{id: id, class: d.classes[operation], visit: v, came: now}
-	inv := v.inv
-	j.overdue = d.loop.After(givenUp+overdue-now, func() {
-		d.Counts.Overdue++
-		d.Fail(inv)
-		d.Event(dispatch.Withdrawn{Inv: inv})
-	})
+	inv, j := v.inv, &inHand{id: id, class: d.classes[operation], visit: v, came: now, givenUp: givenUp}
+	d.watch(inv, j)
 	d.inHand[inv], d.ids[id] = j, true
 	d.Holds(id, true)
 	d.Took(&workers.Invocation{Inv: inv, ID: id, Method: m.Method, Target: m.Target, Fields: onward(m), Body: m.Body,
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -29,7 +29,7 @@
 	l = conn.NewLoop(time.Now())
 	d = New(l, site, l.Share(40), ledger.New())
 	d.Resize(most)
-	d.Relay = func([]byte, func(bool)) bool { return false }
+	d.Relay = func(workers.News, []byte, func(bool)) bool { return false }
 	d.Foreign, d.Holds = func(string) bool { return false }, func(string, bool) {}
 	d.Event = func(e dispatch.Event) {
 		if a, is := e.(dispatch.Arrival); is {
--- /dev/null
+++ b/internal/clients/pass.go
@@ -0,0 +1,149 @@
+package clients
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"stoatweir/dispatch"
+	"stoatweir/internal/conn"
+	"stoatweir/internal/ledger"
+	"stoatweir/internal/workers"
+)
+
+// Parcel is a connection on its way to another process, with the invocation that waits on it.
+type Parcel struct {
+	Socket syscall.Conn
+	Read   []byte
+	News   bool
+	Fresh  bool           // nothing has come over it yet
+	Inv    dispatch.InvID // 0: it is idle
+
+	visit *visit
+	job   *inHand
+}
+
+// Offer stops connections that could go to another process, and gives each to pass once nothing moves on it any more. may
+// tells whether an invocation can go as it stands.
+func (d *Door) Offer(may func(dispatch.InvID) bool, pass func(*Parcel)) {
+	for v := range d.visits {
+		if v.passable() {
+			v.c.Detach(func() { v.offer(may, pass) })
+		}
+	}
+}
+
+// Passable tells whether there is still a connection that could go.
+func (d *Door) Passable() bool {
+	for v := range d.visits {
+		if v.passable() {
+			return true
+		}
+	}
+	return false
+}
+
+// passable: it is between two requests, or a whole one waits for its answer, and the other process has not refused it.
+func (v *visit) passable() bool {
+	return v.parcel == nil && !v.stays && !v.waits && !v.last && !v.parser.Started()
+}
+
+func (v *visit) offer(may func(dispatch.InvID) bool, pass func(*Parcel)) {
+	d := v.door
+	if v.inv != 0 && !may(v.inv) || !v.passable() || v.c.Unsent() > 0 {
+		v.c.Attach() // it will be asked again
+		return
+	}
+	socket, stands := v.c.Socket()
+	if !stands {
+		return
+	}
+	p := &Parcel{Socket: socket, News: v.brings, Fresh: !v.useful, Inv: v.inv, visit: v}
+	for part := v.c.In.Bytes(); len(part) > 0; part = v.c.In.Bytes() {
+		p.Read = append(p.Read, part...)
+		v.c.In.Drop(len(part))
+	}
+	if v.inv != 0 {
+		p.job = d.inHand[v.inv]
+		d.forget(v.inv, ledger.Handed)
+	}
+	v.parcel = p
+	d.passing++
+	v.slow.Stop()
+	v.slow = nil
+	pass(p)
+}
+
+// Kept: the other process has it.
+func (p *Parcel) Kept() {
+	v, d := p.visit, p.visit.door
+	d.passing--
+	delete(d.visits, v)
+	v.c.Close()
+	if p.job != nil {
+		delete(d.ids, p.job.id)
+		d.Holds(p.job.id, false)
+	}
+}
+
+// Back: the other process would not have it, and it goes on here.
+func (p *Parcel) Back() {
+	v, d := p.visit, p.visit.door
+	d.passing--
+	v.parcel, v.stays = nil, true
+	if p.job != nil {
+		d.Ledger.Back(p.job.class)
+		d.inHand[p.Inv] = p.job
+		d.watch(p.Inv, p.job)
+	}
+	v.c.In.Write(p.Read)
+	v.c.Attach()
+	v.Read(v.c)
+}
+
+// Lost: the other process has died with it on the way, and may have sent it on.
+func (p *Parcel) Lost() {
+	p.Back()
+	if p.job != nil {
+		p.visit.door.Fail(p.Inv)
+	}
+}
+
+// Inherit takes a connection of another process in, with the invocation that waits on it, if any; inv is its name here. False:
+// there is no room for it.
+func (d *Door) Inherit(nc net.Conn, p Parcel, j *workers.Invocation, operation int, age time.Duration) (inv dispatch.InvID,
+	kept bool) {
+	m := d.Manner()
+	if !m.Takes || m.Shuts && j == nil || j != nil && len(d.inHand) >= d.most || !d.share.Spare(0) {
+		return 0, false
+	}
+	v := &visit{door: d, useful: !p.Fresh, brings: p.News}
+	d.visits[v] = struct{}{}
+	v.c = d.share.Inherit(nc, p.Read, v)
+	if j == nil {
+		if v.c.Set(conn.Idle); p.Fresh {
+			v.c.Set(conn.Begun)
+			v.slow = d.loop.After(readIn, v.late)
+		}
+		v.Read(v.c)
+		return 0, true
+	}
+	d.last++
+	v.inv, j.Inv = d.last, d.last
+	d.Ledger.Took(d.classes[operation])
+	job := &inHand{id: j.ID, class: d.classes[operation], visit: v, came: d.loop.Now() - age, givenUp: j.GivenUp}
+	d.inHand[j.Inv], d.ids[j.ID] = job, true
+	d.watch(j.Inv, job)
+	d.Holds(j.ID, true)
+	v.Read(v.c)
+	return j.Inv, true
+}
+
+// watch answers an invocation that the decisions have let go overdue.
+func (d *Door) watch(inv dispatch.InvID, j *inHand) {
+	j.overdue = d.loop.After(j.givenUp+overdue-d.loop.Now(), func() {
+		d.Counts.Overdue++
+		d.Fail(inv)
+		d.Event(dispatch.Withdrawn{Inv: inv})
+	})
+}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"stoatweir/internal/ring"
@@ -54,7 +55,8 @@
 	toRead, toWrite  chan []byte
 	reading, writing bool // a run of bytes is with the goroutine
 	up, ended, quits bool
-	deaf             bool // nothing more is read
+	deaf             bool   // nothing more is read
+	detached         func() // is told once nothing moves any more; nil: all goes its way
 	ending           Ending
 	use              Use
 	since            time.Duration // it has had that use
@@ -90,9 +92,13 @@
 }
 
 // Adopt drives a connection that a listener has accepted.
-func (s *Share) Adopt(nc net.Conn, owner Owner) *Conn {
+func (s *Share) Adopt(nc net.Conn, owner Owner) *Conn { return s.Inherit(nc, nil, owner) }
+
+// Inherit drives one that another process had, which has read some bytes of it. They must fit the ring.
+func (s *Share) Inherit(nc net.Conn, read []byte, owner Owner) *Conn {
 	s.used++
 	c := &Conn{loop: s.loop, share: s, owner: owner, net: nc, abort: func() {}}
+	c.In.Write(read)
 	c.begin()
 	return c
 }
@@ -145,6 +151,9 @@
 		return
 	case read:
 		c.reading = false
+		if c.detached != nil && errors.Is(n.err, os.ErrDeadlineExceeded) {
+			n.err = nil // that is what ended the read
+		}
 		if n.n > 0 && !c.ended && !c.quits {
 			c.In.Add(n.n)
 			c.owner.Read(c)
@@ -168,6 +177,7 @@
 		return
 	}
 	c.Resume()
+	defer c.still()
 	if n.what == wrote && c.Unsent() == 0 {
 		if c.quits {
 			c.shut()
@@ -301,7 +311,7 @@
 	if c.ended || !c.up {
 		return
 	}
-	if b := c.In.Room(); !c.reading && !c.deaf && (len(b) > 0 || c.quits) {
+	if b := c.In.Room(); !c.reading && !c.deaf && c.detached == nil && (len(b) > 0 || c.quits) {
 		if c.reading = true; c.quits {
 			b = nil // to be swallowed
 		}
@@ -313,6 +323,41 @@
 	}
 }
 
+// Detach stops the reading and tells once, when all that was read is in and all that was written has gone out: then the
+// socket can be another process's. It does not tell if the connection ends before.
+func (c *Conn) Detach(done func()) {
+	if c.ended || c.quits || !c.up || c.detached != nil {
+		return
+	}
+	c.detached = done
+	c.net.SetReadDeadline(time.Unix(1, 0))
+	c.loop.After(0, c.still)
+}
+
+func (c *Conn) still() {
+	if c.detached == nil || c.ended || c.quits || c.reading || c.writing || c.Unsent() > 0 {
+		return
+	}
+	done := c.detached
+	c.detached = func() {} // it is told once
+	done()
+}
+
+// Attach goes on as before.
+func (c *Conn) Attach() {
+	if c.detached = nil; c.ended {
+		return
+	}
+	c.net.SetReadDeadline(time.Time{})
+	c.Resume()
+}
+
+// Socket is the connection's descriptor, for whoever is to have it.
+func (c *Conn) Socket() (syscall.Conn, bool) {
+	socket, is := c.net.(syscall.Conn)
+	return socket, is && !c.ended
+}
+
 // Use tells what would be lost if a connection were closed for want of descriptors.
 type Use uint8
 
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -38,7 +38,7 @@
 		for {
 			select {
 			case m := <-l.out:
-				if l.write(m, -1) != nil {
+				if l.send(m) != nil {
 					l.Close()
 					return
 				}
@@ -52,10 +52,10 @@
 		defer l.Close()
 		for {
 			m, file, err := l.read()
-			if file != nil {
-				file.Close() // none is expected any more
-			}
-			if err != nil {
+			if m.File = file; err != nil {
+				if file != nil {
+					file.Close()
+				}
 				return
 			}
 			told(m)
@@ -72,6 +72,22 @@
 	}
 }
 
+// send writes a message with the descriptor that belongs to it, which is only borrowed for that.
+func (l *Link) send(m Message) error {
+	if m.Socket == nil {
+		return l.write(m, -1)
+	}
+	raw, err := m.Socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	if err = raw.Control(func(fd uintptr) { failed = l.write(m, int(fd)) }); err == nil {
+		err = failed
+	}
+	return err
+}
+
 // Close ends the link.
 func (l *Link) Close() {
 	l.once.Do(func() {
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -7,6 +7,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"os"
+	"syscall"
 )
 
 // Version of the messages. Another one is refused: half an understanding would lose invocations.
@@ -27,6 +29,8 @@
 	Freed   Kind = "freed"   // either: these are no longer
 	News    Kind = "news"    // either: a worker's news that may be for the other one
 	Heard   Kind = "heard"   // the answer to that
+	Pass    Kind = "pass"    // from the one that ends: a client's connection, with the invocation that waits on it
+	Kept    Kind = "kept"    // the answer to that
 )
 
 // Message is one packet: a head, and a body that is passed on as it came.
@@ -38,8 +42,23 @@
 	MemoryMB int      `json:",omitempty"` // likewise
 	Why      string   `json:",omitempty"`
 	IDs      []string `json:",omitempty"`
-	Number   uint64   `json:",omitempty"` // of news, in its answer too
-	Body     []byte   `json:"-"`
+	Number   uint64   `json:",omitempty"` // of news or a pass, in its answer too
+	OK       bool     `json:",omitempty"` // news has found its owner; what was passed is kept
+	Unsure   bool     `json:",omitempty"` // its owner can't be told at this moment
+
+	Pass *Passed `json:",omitempty"`
+	Body []byte  `json:"-"` // of news, or of the request that is passed
+
+	Socket syscall.Conn `json:"-"` // to go with it
+	File   *os.File     `json:"-"` // that came with it; whoever takes the message closes it
+}
+
+// Passed is a client's connection, or one that brings workers' news.
+type Passed struct {
+	Read       []byte          // was read of it and not used
+	News       bool            `json:",omitempty"`
+	Fresh      bool            `json:",omitempty"` // nothing has come over it yet
+	Invocation json.RawMessage `json:",omitempty"` // as those know it who keep invocations; none: it is idle
 }
 
 func (m Message) encode() ([]byte, error) {
--- a/internal/handover/place.go
+++ b/internal/handover/place.go
@@ -178,19 +178,12 @@
 // Welcome gives it the listening socket, which from then on both have. The socket is not duplicated on our side:
 // what net offers for that would set it to blocking for both.
 func (n *Newcomer) Welcome(listener net.Listener, m Message) (*Link, error) {
-	raw, is := listener.(syscall.Conn)
+	socket, is := listener.(syscall.Conn)
 	if !is {
 		return nil, errors.New("the listener has no descriptor")
 	}
-	c, err := raw.SyscallConn()
-	if err != nil {
-		return nil, err
-	}
-	m.Kind, m.Version = Welcome, Version
-	var failed error
-	if err = c.Control(func(fd uintptr) { failed = n.link.write(m, int(fd)) }); err == nil {
-		err = failed
-	}
+	m.Kind, m.Version, m.Socket = Welcome, Version, socket
+	err := n.link.send(m)
 	if err != nil {
 		n.link.Close()
 		return nil, err
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -82,6 +82,12 @@
 	l.Changes++
 }
 
+// Back: what was handed over goes on here.
+func (l *Ledger) Back(class int) {
+	l.classes[class].Ended[Handed]--
+	l.Changes++
+}
+
 // Sent counts a forward that was written whole.
 func (l *Ledger) Sent() {
 	l.Forwards++
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -29,7 +29,10 @@
 	drainTakes = 1900 * time.Millisecond
 	// drainSweep: nor may a connection without an invocation; what closes then has time to go.
 	drainSweep = 3400 * time.Millisecond
-	leaveMost  = 3200 * time.Millisecond // no kill comes before 3.7 s
+	// passFor is how long connections may be passed on before those that are left close: all of them go in a few moments,
+	// unless the successor will not have them.
+	passFor   = time.Second
+	leaveMost = 3200 * time.Millisecond // no kill comes before 3.7 s
 	// leaveMargin is between the last answers and our end.
 	leaveMargin = 200 * time.Millisecond
 )
@@ -41,6 +44,7 @@
 	Takes  bool // new invocations are taken
 	Shuts  bool // idle connections of clients close, and each answer closes its own
 	Sweeps bool // so do those that have begun a request and not ended it
+	Passes bool // connections and what waits on them go to the successor
 	News   bool // connections that bring workers' news stay while others shut
 	Leaves bool // the process ends once nothing is owed
 	Rests  bool // what is still owed is answered now, as there is no more time
@@ -101,7 +105,7 @@
 	c.successor = stands
 	switch {
 	case stands && c.state == Stopping:
-		c.state, c.shutAt = HandingOver, min(c.shutAt, now)
+		c.state, c.shutAt = HandingOver, min(c.shutAt, now+passFor)
 	case !stands && c.state == HandingOver:
 		c.state = Stopping
 	}
@@ -115,7 +119,7 @@
 	c.last = now + min(max(longest, shutAfter), leaveMost)
 	switch {
 	case c.successor:
-		c.shutAt = now
+		c.shutAt = now + passFor
 	case c.state == Standby: // who was to turn elsewhere has had the time for it
 		c.shutAt = max(now, c.since+drainShut)
 	default:
@@ -141,7 +145,8 @@
 	case HandingOver, Stopping:
 		shuts := now >= c.shutAt
 		handing := c.state == HandingOver
-		m = Manner{Yes: handing, Hears: !handing, Takes: now < c.last, Shuts: shuts, Leaves: shuts, News: handing, Rests: now >= c.last,
+		m = Manner{Yes: handing, Hears: !handing, Takes: now < c.last, Shuts: shuts, Leaves: shuts || handing, News: handing,
+			Passes: handing && now < c.last, Rests: now >= c.last,
 			Over: now >= c.last+leaveMargin}
 	}
 	return m
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -319,6 +319,51 @@
 	return true
 }
 
+// Settled tells whether each forward of an invocation that is out has been taken by its worker: nothing of it is on its way.
+func (f *Fleet) Settled(inv dispatch.InvID, forwards int) bool {
+	for fwd := range forwards {
+		if o := f.byNumber[number{inv, fwd}]; o != nil && !o.taken {
+			return false
+		}
+	}
+	return true
+}
+
+// Give takes the forwards of an invocation out of the books: another process has them from now on.
+func (f *Fleet) Give(inv dispatch.InvID, forwards int) {
+	for fwd := range forwards {
+		if o := f.byNumber[number{inv, fwd}]; o != nil {
+			delete(f.byNumber, number{inv, fwd})
+			delete(f.byName, name{o.inv.ID, o.worker.uid})
+			o.deadline.Stop()
+		}
+	}
+}
+
+// Keep enters a forward that another process has sent and that its worker has taken.
+func (f *Fleet) Keep(inv *Invocation, fwd int, to dispatch.WorkerID) {
+	w := f.workers[to]
+	o := &forward{inv: inv, number: fwd, worker: w, taken: true}
+	f.byNumber[number{inv.Inv, fwd}], f.byName[name{inv.ID, w.uid}] = o, o
+	o.deadline = f.loop.After(inv.GivenUp-f.loop.Now(), func() { f.end(o, conn.Expired, nil) })
+}
+
+// UID is how all schedulers name a worker; empty: it is not known here.
+func (f *Fleet) UID(id dispatch.WorkerID) string {
+	if w := f.workers[id]; w != nil {
+		return w.uid
+	}
+	return ""
+}
+
+// ID is our own name of it.
+func (f *Fleet) ID(uid string) (dispatch.WorkerID, bool) {
+	if w := f.byUID[uid]; w != nil {
+		return w.entry.Worker, true
+	}
+	return dispatch.WorkerID{}, false
+}
+
 // Listing is the whole list as it stands, in one order for any run.
 func (f *Fleet) Listing() dispatch.Listing {
 	list := dispatch.Listing{Form: dispatch.ListWhole}
