Hand over what was learned, asked for before the yes

Need: 3% of what came in the seconds of an upgrade was late, as paces, running times and figures were learned anew; a cold worker's budget was spent anew. Ruled out by following ids: two market-sales of that errored ran on a worker that was released under them, for over 16 s, as without an upgrade. Test: the module's trace of a successor, which fails without either part.

--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -59,6 +59,7 @@
 
 	at            address
 	opened        bool           // clients are let in
+	studies       bool           // what the process before has learned was asked for
 	post          *handover.Post // where a successor finds us; nil: nowhere
 	bond          *bond          // nil: no other process serves at our address
 	life          life.Cycle
@@ -152,7 +153,7 @@
 func (s *service) told(list discovery.List) {
 	if list.Form != dispatch.ListFailed {
 		s.fleet.List(list)
-		s.loop.After(s.settling(), s.knows)
+		s.loop.After(s.settling(), s.study)
 	} else if s.site.Deployment.Pushed {
 		s.loop.After(listWithin/4, s.list.Watch)
 	}
--- a/cmd/stoatweir/successor.go
+++ b/cmd/stoatweir/successor.go
@@ -235,6 +235,12 @@
 			// What neither had was on its way here, or back, when it was asked for: the answer has come behind it.
 			q.heard(m.OK || s.fleet.Take(q.news) || !m.Unsure && !b.passing(q.news.ID))
 		}
+	case handover.Learn:
+		b.teach()
+	case handover.Lesson:
+		s.heed(m.Message)
+	case handover.Taught:
+		s.knows()
 	case handover.Pass:
 		kept := s.inherit(m.Message)
 		b.link.Send(handover.Message{Kind: handover.Kept, Number: m.Number, OK: kept})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -134,6 +134,8 @@
 		d.follow(n)
 	case Retuned:
 		d.tune(n)
+	case Taught:
+		d.heed(n.Lesson)
 	}
 }
 
@@ -234,8 +236,8 @@
 		w.follow(n.Entry)
 	case sent:
 		w.errands = append(w.errands, n.errand)
-	case handed:
-		w.hand(n)
+	case bequest:
+		n.to(w)
 	case view:
 		w.all = n
 		w.watch()
--- /dev/null
+++ b/dispatch/lesson_test.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// An instance takes another one's place: what was measured, who is set aside, what a cold worker was sent, and invocations
+// with their forwards go on as they were. What breaks is sent again where it may be, once.
+func Example_successor() {
+	dep := shop()
+	dep.Peers, dep.Pushed = 1, true
+	cold := ready('c', 0)
+	cold.Restarted, cold.StartedAt, cold.Start = true, 8*time.Second, 7
+	old := start(dep, ready('a', 0), ready('b', 0))
+	old.quiet = true
+	for n := InvID(1); n <= 5; n++ {
+		old.at(old.now+10*ms, job(n, 0, 0.1), free('a', 1), free('b', 1))
+		old.at(old.now+200*ms, old.end(n, 0, Succeeded))
+	}
+	old.at(9*time.Second, Listing{Form: ListDelta, Entries: []Entry{cold}})
+	asked := func(when time.Duration, events ...Event) {
+		old.at(when, free('a', 3), free('b', 3), free('c', 3))
+		old.at(when+10*ms, events...)
+		old.until(when + 90*ms)
+	}
+	asked(9200*ms, job(22, 2, 0.1))
+	asked(9300*ms, job(23, 2, 0.1), job(21, 0, 0.1))
+	asked(9400*ms, job(25, 0, 0.01), old.end(21, 0, Failed))
+	old.at(9500*ms, old.end(25, 0, Succeeded))
+	old.tell("the old one")
+
+	// What goes to the other process goes as text; its clock began later.
+	const later = 9 * time.Second
+	next := start(dep, ready('a', 0), ready('b', 0))
+	entry := cold
+	entry.StartedAt -= later
+	next.quiet = true
+	next.at(200*ms, Listing{Form: ListDelta, Entries: []Entry{entry}})
+	text, err := json.Marshal(old.d.Lesson())
+	var lesson Lesson
+	if err == nil {
+		err = json.Unmarshal(text, &lesson)
+	}
+	next.at(350*ms, Taught{lesson})
+	fmt.Println(err, next.d.Avoided(), old.d.Avoided(), next.d.desk.paced, next.d.desk.ops[0].sizes.mean() == old.d.desk.ops[0].sizes.mean())
+	spent := func(p *play) float64 {
+		p.d.desk.door.list[2].worker.tell()
+		return p.d.list[2].worker.spent
+	}
+	fmt.Println("spent on the cold one:", spent(old) > 0, spent(next) == spent(old))
+	for n := InvID(21); n <= 23; n++ {
+		r, held := old.d.Record(n)
+		if !held {
+			fmt.Println(n, "has ended")
+			continue
+		}
+		r.Inv += 100
+		next.went[r.Inv] = nil
+		for _, t := range r.Tries {
+			next.went[r.Inv] = append(next.went[r.Inv], t.Worker)
+		}
+		fmt.Println(n, r.Age, len(r.Tries), r.Budget)
+		old.at(old.now, Passed{n})
+		next.at(400*ms, r)
+	}
+	old.tell("the old one after that")
+	next.tell("the new one")
+	next.at(500*ms, next.end(121, len(next.went[121])-1, Broken), next.end(122, 0, Broken), next.end(123, 0, Succeeded))
+	next.tell("two break, one succeeds")
+	old.at(20*time.Second, Due{})
+	old.tell("the old one, much later")
+	lesson.Version++
+	fresh := start(dep, ready('a', 0))
+	fresh.at(10*ms, Taught{lesson})
+	fmt.Println("of another version:", len(fresh.d.desk.runs))
+	// Output:
+	// the old one: 1 to b; 2 to a; 3 to b; 4 to b; 5 to b; 22 to b; 23 to a; 21 to b; worker b is set aside: fails what it gets; 21 to a; 25 to c
+	// <nil> 1 1 map[0:2] true
+	// spent on the cold one: true true
+	// 21 190ms 2 4.81s
+	// 22 290ms 1 4.71s
+	// 23 190ms 1 4.81s
+	// the old one after that: nothing
+	// the new one: nothing
+	// two break, one succeeds: 122 errored; 121 to c
+	// the old one, much later: nothing
+	// of another version: 0
+}
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -67,7 +67,10 @@
 // handed is desk to worker: a forward of ours is another instance's.
 type handed struct{ inv, fwd int }
 
-func (w *worker) hand(n handed) {
+// bequest is what one instance leaves another, or takes from its own books for that, of one worker.
+type bequest interface{ to(w *worker) }
+
+func (n handed) to(w *worker) {
 	if e := w.find(n.inv, n.fwd); e != nil {
 		e.end = w.now
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -115,6 +115,15 @@
 // Kind is the same of a kind of workers.
 func (w *Watcher) Kind(name string) int { return w.kinds.at(name) }
 
+// Kinds lists the names by index.
+func (w *Watcher) Kinds() []string {
+	list := make([]string, len(w.kinds))
+	for name, at := range w.kinds {
+		list[at] = name
+	}
+	return list
+}
+
 // targets is one line of a watch, and the form of the whole list too.
 type targets struct {
 	Rev     uint64
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -31,6 +31,9 @@
 	Heard   Kind = "heard"   // the answer to that
 	Pass    Kind = "pass"    // from the one that ends: a client's connection, with the invocation that waits on it
 	Kept    Kind = "kept"    // the answer to that
+	Learn   Kind = "learn"   // newcomer: it asks for what was learned
+	Lesson  Kind = "lesson"  // a part of that
+	Taught  Kind = "taught"  // there is no more
 )
 
 // Message is one packet: a head, and a body that is passed on as it came.
@@ -47,7 +50,7 @@
 	Unsure   bool     `json:",omitempty"` // its owner can't be told at this moment
 
 	Pass *Passed `json:",omitempty"`
-	Body []byte  `json:"-"` // of news, or of the request that is passed
+	Body []byte  `json:"-"` // of news, the request that is passed, or a part of the lesson
 
 	Socket syscall.Conn `json:"-"` // to go with it
 	File   *os.File     `json:"-"` // that came with it; whoever takes the message closes it
