--- a/cmd/stoatweir/life.go
+++ b/cmd/stoatweir/life.go
@@ -4,7 +4,6 @@
 	"errors"
 	"time"
 
-	"stoatweir/dispatch"
 	"stoatweir/internal/admin"
 	"stoatweir/internal/life"
 )
@@ -90,10 +89,6 @@
 	if m.Passes && s.bond != nil && !s.bond.elder {
 		s.pass()
 	}
-	if m.Turned && !s.turned {
-		s.turned = true
-		s.events = append(s.events, dispatch.Leaving{By: s.life.Last()})
-	}
 	if m.Rests {
 		s.failRest()
 	}
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -59,7 +59,6 @@
 
 	at            address
 	opened        bool           // clients are let in
-	turned        bool           // the module knows when all must have ended
 	studies       bool           // what the process before has learned was asked for
 	post          *handover.Post // where a successor finds us; nil: nowhere
 	bond          *bond          // nil: no other process serves at our address
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -30,7 +30,6 @@
 	probeFloor, probePoints = 3, 0.002            // probes a second; points of the result that more may cost
 	startPart               = 0.15                // of our forwards that start at once if room is somewhere
 	figureCount, usualLike  = 8, 6                // reports kept, and that the pool's usual one stands for
-	pairHold, pairsFirst    = 0.98, 2             // XX
 	lagTimes                = 2                   // spans between reports that one may be old when it comes
 	queueShare, sureFresh   = 0.5, 0.6            // what may queue on old figures; how far they hold for a clone
 	crowd                   = 6                   // schedulers, of all, that take notice of a cold worker
@@ -72,7 +71,7 @@
 	d.peers = float64(max(1, dep.Peers, dep.Me+1)) // told too few, those with higher numbers know better
 	k.zone, k.cancels, k.mostOut, k.peers = dep.Zone, dep.Allowed.Cancel, dep.Allowed.MaxOut, d.peers
 	k.mostForwards, k.after = max(1, dep.Allowed.MaxForwards), min(dep.Allowed.MaxRetryAfter, awaySpan)
-	k.each = probePoints / max(dep.ProbePrice, probePoints/4)
+	k.each, k.multiple = probePoints/max(dep.ProbePrice, probePoints/4), max(1, dep.Rules.FallMultiple)
 	k.budget = dep.Rules.FallMultiple * dep.Rules.Fall.Seconds()
 	k.ops = n.operations(k.ops)
 }
@@ -91,6 +90,27 @@
 	return d.out
 }
 
+// enter finds whom an event is for. What is about an invocation that is not held any more is passed over.
+func (d *Dispatcher) enter(event Event) {
+	id, worker := event.About()
+	at, known := d.workerAt[worker]
+	inv, held := d.invAt[id]
+	if begins(event) && !held {
+		inv, held = d.desk.slot(), true
+		d.invAt[id] = inv
+	}
+	switch n := (about{inv: inv, event: event}); {
+	case id > 0 && !held:
+	case known:
+		d.meet(at).put(n)
+	case held:
+		d.desk.put(n)
+	default:
+		d.put(event)
+	}
+	d.settle()
+}
+
 func (d *Dispatcher) read(note any) {
 	switch n := note.(type) {
 	case freed:
@@ -116,11 +136,19 @@
 		d.tune(n)
 	case Taught:
 		d.heed(n.Lesson)
-	case Leaving:
-		d.desk.leave(n.By)
 	}
 }
 
+func (d *Dispatcher) meet(at int) *worker {
+	p := &d.list[at]
+	if p.worker == nil {
+		p.worker = &worker{inbox: inbox{house: &d.house}, desk: &d.desk.inbox, id: p.Worker, card: card{at: at}}
+		p.worker.inbox.read = p.worker.read
+		p.worker.put(listed{p.Entry, p.lot})
+	}
+	return p.worker
+}
+
 // next asks the worker whose turn it is, which chance sets: one in all schedulers' pools would draw a crowd.
 func (d *Dispatcher) next(w wanted) {
 	for n := 0; n < len(d.order); {
@@ -220,7 +248,7 @@
 		switch e := n.event.(type) {
 		case Sign:
 			if f := w.find(n.inv, e.Forward); f != nil {
-				if w.lastSign, f.heard, f.done = w.now, w.now, max(f.done, e.Done); e.Started {
+				if w.lastSign, f.heard = w.now, w.now; e.Started {
 					if f.began == 0 && w.now < f.sent+2*beat {
 						w.desk.put(begun{1})
 					}
@@ -241,6 +269,15 @@
 	w.tell()
 }
 
+func (w *worker) held(at time.Duration) (n need) {
+	for i := range w.errands {
+		if e := &w.errands[i]; e.sent <= at && (e.end == 0 || at < e.end) && e.sent >= w.startedAt {
+			n = n.plus(1, e.need)
+		}
+	}
+	return n
+}
+
 func (w *worker) tell() {
 	mine := w.held(w.now)
 	w.open, w.trial, w.known = w.standing == Ready && !w.aside, w.wanted > 0, len(w.figures) > 0
@@ -389,18 +426,6 @@
 	w.desk.put(n)
 }
 
-// ends is when a forward that is out will have ended, by its progress, or by its cost while it tells of none.
-func (w *worker) ends(inv, fwd int, pace float64) time.Duration {
-	e := w.find(inv, fwd)
-	if e == nil {
-		return w.now
-	}
-	if e.began > 0 && e.done > 0 {
-		return e.heard + time.Duration(float64(e.heard-e.began)*(1-e.done)/e.done)
-	}
-	return cmp.Or(e.began, w.now) + seconds(e.work*pace)
-}
-
 func (w *worker) comeBack(seen bool) {
 	if w.aside && seen && w.now >= w.asideTill {
 		w.aside, w.wanted, w.seen = false, trialRuns*max(1, w.asides), w.now
@@ -471,7 +496,8 @@
 		k.slots.add(n.slots)
 		k.memory.add(n.memory)
 	case pair:
-		k.gaps, k.changes = k.gaps*pairHold+n.gap, k.changes*pairHold+n.changed
+		k.gaps.add(n.gap)
+		k.changes.add(n.changed)
 	case stuck:
 		if j := &k.invs[n.inv]; !j.done && n.fwd < len(j.tries) {
 			j.tries[n.fwd].stuck = true
@@ -573,9 +599,9 @@
 	if k.starts.mean() > startPart {
 		slots = max(1, slots)
 	}
-	k.learned, k.all = k.now, view{run: cmp.Or(k.runs.mean(), 1), learn: k.gaps < sampleCount/2*beat.Seconds(),
+	k.learned, k.all = k.now, view{run: cmp.Or(k.runs.mean(), 1), learn: len(k.gaps) < sampleCount/2,
 		usual: need{slots, k.memory.at(0.5)}, service: service.at(0.5),
-		lag: seconds(lagTimes * (pairsFirst*patience.Seconds() + k.gaps) / (pairsFirst + k.changes))}
+		lag: seconds(lagTimes * (patience.Seconds() + k.gaps.sum()) / (1 + k.changes.sum()))}
 }
 
 func (k *desk) take(i int, a Arrival) {
@@ -635,36 +661,13 @@
 }
 
 // hopeless: it has waited too long for any worker; not before the plain objective, as paces may be wrong.
-// Or it can't have ended when we must.
 func (k *desk) hopeless(j *inv) bool {
 	o := &k.ops[j.op]
-	most, best := o.objective, 1e6
+	most := o.objective
 	for _, at := range k.pool {
-		pace := k.board[at].pace
-		most, best = max(most, k.slack(j, pace)), min(best, pace)
-	}
-	ends := k.leaves == 0 || k.now+seconds(j.work*best) <= k.leaves
-	return k.now+2*beat >= j.givenUp || !ends || !o.late && k.now-j.first > most
-}
-
-// leave gives up what can't end in time, as its client can still ask another scheduler. What may run only
-// once, or only in one group of workers, is waited for as long as there is a chance.
-func (k *desk) leave(by time.Duration) {
-	k.leaves = by
-	for i := range k.invs {
-		j := &k.invs[i]
-		if o := &k.ops[j.op]; j.done || j.id == 0 || o.effect != Idempotent {
-			continue
-		}
-		hope := slices.Contains(k.held, i)
-		for f, t := range j.tries {
-			hope = hope || t.out && k.door.list[t.at].worker.ends(i, f, k.board[t.at].pace) <= by
-		}
-		if !hope {
-			k.do(Throttled{j.id, k.after})
-			k.land(i, -1)
-		}
+		most = max(most, k.slack(j, k.board[at].pace))
 	}
+	return k.now+2*beat >= j.givenUp || !o.late && k.now-j.first > most
 }
 
 func (k *desk) giveUp(i int) {
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -20,7 +20,7 @@
 type Try struct {
 	Worker            WorkerID
 	Age, Began, Heard time.Duration // since it was sent, began and was last heard of; below 0: it has not, it was not
-	Cost, Done        float64
+	Cost              float64
 	Out, Ran          bool
 	Stuck, Unfit      bool
 }
@@ -51,7 +51,7 @@
 			Unfit: t.unfit}
 		if w := d.list[t.at].worker; w != nil {
 			if e := w.find(i, f); e != nil {
-				if try.Cost, try.Done = e.cost, e.done; e.began > 0 {
+				if try.Cost = e.cost; e.began > 0 {
 					try.Began = ago(e.began)
 				}
 				if e.heard > 0 {
@@ -109,7 +109,7 @@
 		if !t.Out {
 			continue
 		}
-		e := errand{inv: i, fwd: f, need: j.need, work: j.work, cost: t.Cost, done: t.Done, lost: t.Stuck, sent: max(0, k.now-t.Age)}
+		e := errand{inv: i, fwd: f, need: j.need, work: j.work, cost: t.Cost, lost: t.Stuck, sent: max(0, k.now-t.Age)}
 		if t.Began >= 0 {
 			e.began = max(1, k.now-t.Began)
 		}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -216,11 +216,6 @@
 	From []int
 }
 
-// Leaving says that all must have ended by a time.
-type Leaving struct{ By time.Duration }
-
-func (e Leaving) About() (InvID, WorkerID) { return 0, WorkerID{} }
-
 // Action is something that the caller is to do, in the order given.
 type Action any
 
@@ -385,7 +380,7 @@
 type errand struct {
 	inv, fwd int
 	need
-	work, cost, done        float64
+	work, cost              float64
 	lost                    bool
 	sent, began, heard, end time.Duration // end: when its slots are free again; 0 while it is out
 }
@@ -496,8 +491,7 @@
 	after                           time.Duration // how long a throttled client is to stay away
 	cancels, comes                  bool          // comes: an invocation has come since the last look round
 	mostForwards, mostOut           int
-	budget, peers                   float64       // of a cold worker's capacity, what all schedulers may send
-	leaves                          time.Duration // when all must have ended; 0: it is not known
+	budget, peers, multiple         float64 // of a cold worker's capacity, what all schedulers may send
 	ops                             []operation
 	invs                            []inv
 	held                            []int           // by rank, highest first
@@ -505,9 +499,8 @@
 	pool, busy, spare               []int           // asked last is last; with work of ours or aside; of invs
 	paced                           map[int]float64 // their middle
 	paces                           map[int]samples // of warm workers of a kind
-	gaps, changes                   float64
-	runs                            samples // running times; spans between answers, new reports in them
-	slots, memory, starts           samples // the last figures of any warm worker; forwards that started at once
+	runs, gaps, changes             samples         // running times; spans between answers, new reports in them
+	slots, memory, starts           samples         // the last figures of any warm worker; forwards that started at once
 	all                             view
 	size, each, credit              float64       // of the pool; probes an invocation pays for, and in hand
 	creditAt, viewed, left, learned time.Duration // left: when the last forward or first question did
@@ -534,47 +527,6 @@
 	return nil
 }
 
-// enter finds whom an event is for. What is about an invocation that is not held any more is passed over.
-func (d *Dispatcher) enter(event Event) {
-	id, worker := event.About()
-	at, known := d.workerAt[worker]
-	inv, held := d.invAt[id]
-	if begins(event) && !held {
-		inv, held = d.desk.slot(), true
-		d.invAt[id] = inv
-	}
-	switch n := (about{inv: inv, event: event}); {
-	case id > 0 && !held:
-	case known:
-		d.meet(at).put(n)
-	case held:
-		d.desk.put(n)
-	default:
-		d.put(event)
-	}
-	d.settle()
-}
-
-func (d *Dispatcher) meet(at int) *worker {
-	p := &d.list[at]
-	if p.worker == nil {
-		p.worker = &worker{inbox: inbox{house: &d.house}, desk: &d.desk.inbox, id: p.Worker, card: card{at: at}}
-		p.worker.inbox.read = p.worker.read
-		p.worker.put(listed{p.Entry, p.lot})
-	}
-	return p.worker
-}
-
-// held is what of ours the worker had at a time.
-func (w *worker) held(at time.Duration) (n need) {
-	for i := range w.errands {
-		if e := &w.errands[i]; e.sent <= at && (e.end == 0 || at < e.end) && e.sent >= w.startedAt {
-			n = n.plus(1, e.need)
-		}
-	}
-	return n
-}
-
 // live counts the forwards that are out. first is the first that may have run.
 func (j *inv) live() (out int, first *tried) {
 	for f := range j.tries {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -214,7 +214,6 @@
 
 func (d *Door) answer(inv dispatch.InvID, how ledger.Disposition, status int, body []byte, fields ...http1.Field) {
 	v := d.inHand[inv].visit
-	v.last = v.last || how != ledger.Succeeded && d.Manner().Turned // its next try is to go elsewhere
 	d.forget(inv, how)
 	v.inv = 0
 	v.answer(status, body, fields...)
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -42,7 +42,6 @@
 	Yes    bool // the address is served
 	Hears  bool // connections are accepted
 	Takes  bool // new invocations are taken
-	Turned bool // no new connection comes any more: what can't end here is better off elsewhere
 	Shuts  bool // idle connections of clients close, and each answer closes its own
 	Sweeps bool // so do those that have begun a request and not ended it
 	Passes bool // connections and what waits on them go to the successor
@@ -147,15 +146,12 @@
 		shuts := now >= c.shutAt
 		handing := c.state == HandingOver
 		m = Manner{Yes: handing, Hears: !handing, Takes: now < c.last, Shuts: shuts, Leaves: shuts || handing, News: handing,
-			Passes: handing && now < c.last, Turned: !handing && shuts, Rests: now >= c.last,
+			Passes: handing && now < c.last, Rests: now >= c.last,
 			Over: now >= c.last+leaveMargin}
 	}
 	return m
 }
 
-// Last is when what is still owed is given up, once the order to stop has come.
-func (c *Cycle) Last() time.Duration { return c.last }
-
 // Next is when the behaviour changes by time alone; false: not any more.
 func (c *Cycle) Next(now time.Duration) (time.Duration, bool) {
 	var times []time.Duration
@@ -165,11 +161,10 @@
 	case Stopping, HandingOver:
 		times = []time.Duration{c.shutAt, c.last, c.last + leaveMargin}
 	}
-	next, more := time.Duration(0), false
 	for _, at := range times {
-		if at > now && (!more || at < next) {
-			next, more = at, true
+		if at > now {
+			return at, true
 		}
 	}
-	return next, more
+	return 0, false
 }
