--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -30,7 +30,6 @@
 	probeFloor, probePoints = 3, 0.002            // probes a second; points of the result that more may cost
 	startPart               = 0.15                // of our forwards that start at once if room is somewhere
 	figureCount, usualLike  = 8, 6                // reports kept, and that the pool's usual one stands for
-	pairHold, pairsFirst    = 0.98, 2             // of spans between answers: what one more leaves of them, the prior
 	lagTimes                = 2                   // spans between reports that one may be old when it comes
 	queueShare, sureFresh   = 0.5, 0.6            // what may queue on old figures; how far they hold for a clone
 	crowd                   = 6                   // schedulers, of all, that take notice of a cold worker
@@ -497,7 +496,8 @@
 		k.slots.add(n.slots)
 		k.memory.add(n.memory)
 	case pair:
-		k.gaps, k.changes = k.gaps*pairHold+n.gap, k.changes*pairHold+n.changed
+		k.gaps.add(n.gap)
+		k.changes.add(n.changed)
 	case stuck:
 		if j := &k.invs[n.inv]; !j.done && n.fwd < len(j.tries) {
 			j.tries[n.fwd].stuck = true
@@ -599,9 +599,9 @@
 	if k.starts.mean() > startPart {
 		slots = max(1, slots)
 	}
-	k.learned, k.all = k.now, view{run: cmp.Or(k.runs.mean(), 1), learn: k.gaps < sampleCount/2*beat.Seconds(),
+	k.learned, k.all = k.now, view{run: cmp.Or(k.runs.mean(), 1), learn: len(k.gaps) < sampleCount/2,
 		usual: need{slots, k.memory.at(0.5)}, service: service.at(0.5),
-		lag: seconds(lagTimes * (pairsFirst*patience.Seconds() + k.gaps) / (pairsFirst + k.changes))}
+		lag: seconds(lagTimes * (patience.Seconds() + k.gaps.sum()) / (1 + k.changes.sum()))}
 }
 
 func (k *desk) take(i int, a Arrival) {
--- a/dispatch/lesson.go
+++ b/dispatch/lesson.go
@@ -11,14 +11,13 @@
 // Lesson is what an instance has measured, for another one that takes its place. It holds no decision: what is taught is
 // used by the same lines as what is measured. Times are ages, or what is left of a span.
 type Lesson struct {
-	Version                     int
-	Runs, Slots, Memory, Starts []float64
-	Arrivals                    []time.Duration
-	Pairs                       [2]float64
-	Jobs, Clones, Size, Credit  float64
-	Kinds                       map[int][]float64 // paces
-	Operations                  map[int]OperationLesson
-	Workers                     []WorkerLesson
+	Version                                    int
+	Runs, Gaps, Changes, Slots, Memory, Starts []float64
+	Arrivals                                   []time.Duration
+	Jobs, Clones, Size, Credit                 float64
+	Kinds                                      map[int][]float64 // paces
+	Operations                                 map[int]OperationLesson
+	Workers                                    []WorkerLesson
 }
 
 // OperationLesson is what was measured of one operation.
@@ -57,7 +56,7 @@
 // Lesson writes down what was measured.
 func (d *Dispatcher) Lesson() Lesson {
 	k, ago := &d.desk, func(t time.Duration) time.Duration { return d.now - t }
-	l := Lesson{Version: LessonVersion, Runs: k.runs, Pairs: [2]float64{k.gaps, k.changes}, Slots: k.slots, Memory: k.memory,
+	l := Lesson{Version: LessonVersion, Runs: k.runs, Gaps: k.gaps, Changes: k.changes, Slots: k.slots, Memory: k.memory,
 		Starts: k.starts, Jobs: k.jobs, Clones: k.clones, Size: k.size, Credit: k.credit, Kinds: map[int][]float64{},
 		Operations: map[int]OperationLesson{}}
 	for _, at := range k.arrivals {
@@ -107,7 +106,7 @@
 	for _, v := range []struct {
 		to   *samples
 		from []float64
-	}{{&k.runs, l.Runs}, {&k.slots, l.Slots}, {&k.memory, l.Memory},
+	}{{&k.runs, l.Runs}, {&k.gaps, l.Gaps}, {&k.changes, l.Changes}, {&k.slots, l.Slots}, {&k.memory, l.Memory},
 		{&k.starts, l.Starts}} {
 		*v.to = joined(v.from, *v.to)
 	}
@@ -118,7 +117,6 @@
 	if k.jobs == 0 && len(came) > 0 { // else our own say more
 		k.arrivals = joined(came, nil)
 	}
-	k.gaps, k.changes = k.gaps+l.Pairs[0], k.changes+l.Pairs[1]
 	k.jobs, k.clones, k.size = k.jobs+l.Jobs, k.clones+l.Clones, max(k.size, l.Size)
 	for kind, paces := range l.Kinds {
 		k.paces[kind] = joined(paces, k.paces[kind])
--- a/dispatch/lesson_test.go
+++ b/dispatch/lesson_test.go
@@ -88,29 +88,3 @@
 	// the old one, much later: nothing
 	// of another version: 0
 }
-
-// How old a report is when it comes is learned from answers in a row. In the first second few of them bring a new one: by
-// chance none of twenty does, and yet what is assumed of the span between reports goes up only so far.
-func Example_spanBetweenReports() {
-	p := start(shop(), ready('a', 0))
-	lag := func(changed int) {
-		for n := range 20 {
-			slots := 3.0
-			if n < changed {
-				slots = 4 + float64(n)
-			}
-			p.at(p.now+40*ms, free('a', slots))
-		}
-		p.at(p.now+200*ms, Due{})
-		fmt.Println(p.now, p.d.desk.all.lag.Round(10*ms))
-	}
-	lag(0)
-	lag(2)
-	lag(10)
-	lag(20)
-	// Output:
-	// 1s 1.24s
-	// 2s 980ms
-	// 3s 370ms
-	// 4s 180ms
-}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -499,9 +499,8 @@
 	pool, busy, spare               []int           // asked last is last; with work of ours or aside; of invs
 	paced                           map[int]float64 // their middle
 	paces                           map[int]samples // of warm workers of a kind
-	gaps, changes                   float64
-	runs                            samples // running times; spans between answers, new reports in them
-	slots, memory, starts           samples // the last figures of any warm worker; forwards that started at once
+	runs, gaps, changes             samples         // running times; spans between answers, new reports in them
+	slots, memory, starts           samples         // the last figures of any warm worker; forwards that started at once
 	all                             view
 	size, each, credit              float64       // of the pool; probes an invocation pays for, and in hand
 	creditAt, viewed, left, learned time.Duration // left: when the last forward or first question did
