--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -601,8 +601,7 @@
 	}
 	k.learned, k.all = k.now, view{run: cmp.Or(k.runs.mean(), 1), learn: len(k.gaps) < sampleCount/2,
 		usual: need{slots, k.memory.at(0.5)}, service: service.at(0.5),
-		// Few answers in a row, none of which brought a new report, would make all figures older than we are.
-		lag: min(seconds(lagTimes*(patience.Seconds()+k.gaps.sum())/(1+k.changes.sum())), k.now/2)}
+		lag: seconds(lagTimes * (patience.Seconds() + k.gaps.sum()) / (1 + k.changes.sum()))}
 }
 
 func (k *desk) take(i int, a Arrival) {
