Let descriptors go by progress, and memory come with the first byte

Need: a test with a crowd of 300 connections a second against 44 descriptors: all twelve true requests written over 2 s were cut ("broken pipe"), as half requests went by the time since they were accepted (conn.go, leastUseful), and before connections that had never said a word. Change: who says nothing is told from who has begun, and that from who has gone on; the longest without a byte goes first. A connection reads its first bytes into 256, the ring and the goroutine that writes come when they are needed. Tests: the order of going, a silent crowd's goroutines and rings, every message cut at every byte, a crowd at a real process with slow requests, operators and a drain, and drain, retune and replace in pairs with a crowd at the door.

--- /dev/null
+++ b/cmd/stoatweir/pairs_test.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Drain, retune and replace in pairs under steady load with a crowd at the door: every invocation gets its answer, none is
+// sent twice where it may not be, and the ledgers of all processes together are what clients and workers saw.
+func TestPairs(t *testing.T) {
+	type act func(r *rig, p *process) *process
+	drain := func(r *rig, p *process) *process {
+		if got := p.ask("standby"); got != "+OK standby\n" {
+			t.Errorf("standby: %q", got)
+		}
+		time.Sleep(300 * time.Millisecond)
+		if got := p.ask("active"); got != "+OK ready\n" {
+			t.Errorf("active: %q", got)
+		}
+		return p
+	}
+	n := 0
+	retune := func(r *rig, p *process) *process {
+		n++
+		render := map[string]any{"Name": "render", "Effect": "read_like", "LatencyObjective": 2 + float64(n), "ClientTimeout": 10}
+		sale := map[string]any{"Name": "sale", "Effect": "non_idempotent", "LatencyObjective": 2, "ClientTimeout": 10}
+		r.operations(sale, render)
+		r.mu.Lock()
+		all := r.processes
+		r.mu.Unlock()
+		r.write()
+		for _, p := range all {
+			p.Process.Signal(syscall.SIGHUP) // those that have ended do not mind
+		}
+		return p
+	}
+	replace := func(r *rig, p *process) *process {
+		next := r.start()
+		r.ready(next)
+		p.Process.Signal(syscall.SIGTERM)
+		return next
+	}
+	for name, pair := range map[string][2]act{"drain and retune": {drain, retune}, "retune and replace": {retune, replace},
+		"replace and retune": {replace, retune}, "drain and replace": {drain, replace}, "replace and drain": {replace, drain}} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 3, 100*time.Millisecond)
+			first := r.start()
+			r.ready(first)
+			stop := make(chan struct{})
+			r.crowd(5*time.Millisecond, stop)
+			r.clients(4, "render")
+			r.clients(2, "sale")
+			time.Sleep(200 * time.Millisecond)
+			p := first
+			for _, act := range pair {
+				p = act(r, p)
+			}
+			time.Sleep(400 * time.Millisecond)
+			if p != first {
+				r.end(first, 4*time.Second) // half requests of the crowd have their time
+			}
+			close(stop)
+			r.halt()
+			time.Sleep(2 * publishAfter)
+			if got := p.figures(t); got["svc_outstanding"] != 0 || got["svc_discovered"] != 3 {
+				t.Error(got)
+			}
+			r.check()
+			if len(r.answers) > 1 || r.answers[200] < 20 {
+				t.Error("answers by status: ", r.answers)
+			}
+		})
+	}
+}
--- a/cmd/stoatweir/rig_test.go
+++ b/cmd/stoatweir/rig_test.go
@@ -348,7 +348,7 @@
 			}
 		}
 		k.close()
-		if fresh || try == 1 || !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+		if fresh || try == 1 || !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
 			return -1, err.Error()
 		}
 	}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -153,7 +153,7 @@
 	v := &visit{door: d}
 	d.visits[v] = struct{}{}
 	v.c = d.share.Adopt(a.net, v)
-	v.c.Set(conn.Begun) // its first request is on the way: older ones without a whole one go before it
+	v.c.Set(conn.Mute) // its first request is on the way: older ones without a word go before it
 	v.slow = d.loop.After(readIn, v.late)
 	d.accept()
 }
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand"
 	"net"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -527,3 +528,39 @@
 	fmt.Sscanf(string(b), "HTTP/1.1 %d", &status)
 	told <- status
 }
+
+// Who connects and says nothing costs a goroutine and no ring, and is let go again whole.
+func TestSilentCrowdCostsLittle(t *testing.T) {
+	l, d, addr, shut := open(10)
+	defer shut()
+	const many = 200
+	d.share.Resize(many + 10)
+	before := runtime.NumGoroutine()
+	var crowd []net.Conn
+	for range many {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		crowd = append(crowd, c)
+	}
+	until(l, "the crowd", func() bool { return len(d.visits) == many })
+	if cost := runtime.NumGoroutine() - before; cost > many+10 {
+		t.Errorf("%d silent connections cost %d goroutines", many, cost)
+	}
+	for v := range d.visits {
+		if !v.c.In.Empty() {
+			t.Fatal("a silent connection has a ring")
+		}
+	}
+	d.share.Resize(10)
+	for _, c := range crowd {
+		c.Close()
+	}
+	until(l, "the crowd's end", func() bool { return len(d.visits) == 0 && d.share.Used() == 0 })
+	for began := time.Now(); runtime.NumGoroutine() > before+10; time.Sleep(time.Millisecond) {
+		if time.Since(began) > 2*time.Second {
+			t.Fatal("goroutines left:", runtime.NumGoroutine()-before)
+		}
+	}
+}
--- a/internal/clients/pass.go
+++ b/internal/clients/pass.go
@@ -122,7 +122,7 @@
 	v.c = d.share.Inherit(nc, p.Read, v)
 	if j == nil {
 		if v.c.Set(conn.Idle); p.Fresh {
-			v.c.Set(conn.Begun)
+			v.c.Set(conn.Mute)
 			v.slow = d.loop.After(readIn, v.late)
 		}
 		v.Read(v.c)
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -18,8 +18,12 @@
 // then gets all of it: cutting an answer short would lose the invocation.
 var writeWithin = 20 * time.Second
 
-// young is how long a connection without a whole request comes behind idle ones: the request may be there unread.
-var young = 100 * time.Millisecond
+// young is how long a connection that has said nothing comes behind idle ones: a request may be there unread. stalled is
+// how long one without a whole request may be without a byte until it comes before them.
+var young, stalled = 100 * time.Millisecond, 700 * time.Millisecond
+
+// goesOn is how long after its first bytes more of them show that a request is written slowly, not cut up on its way.
+const goesOn = 20 * time.Millisecond
 
 const (
 	// lingers is how long a closed connection may still take in what its peer sends, as closing with unread bytes
@@ -52,6 +56,7 @@
 	abort            context.CancelFunc
 	out              ring.Buffer
 	rest             []byte // waits for room in out
+	first            []byte // is being read into, as long as there is no ring
 	toRead, toWrite  chan []byte
 	reading, writing bool // a run of bytes is with the goroutine
 	up, ended, quits bool
@@ -103,9 +108,13 @@
 	return c
 }
 
+// firstly is what a connection's first bytes are read into: thousands may connect and say nothing, and the ring is for
+// those that do.
+const firstly = 256
+
 func (c *Conn) begin() {
 	c.up = true
-	c.toRead, c.toWrite = make(chan []byte, 1), make(chan []byte, 1)
+	c.toRead = make(chan []byte, 1)
 	go func() {
 		for b := range c.toRead {
 			n, err := 0, error(nil)
@@ -117,6 +126,12 @@
 			c.loop.Put(note{Conn: c, n: n, err: err, what: read})
 		}
 	}()
+	c.Resume()
+}
+
+// writes begins the other way, with the first bytes that there are for it.
+func (c *Conn) writes() {
+	c.toWrite = make(chan []byte, 1)
 	go func() {
 		for b := range c.toWrite {
 			c.net.SetWriteDeadline(time.Now().Add(writeWithin))
@@ -127,7 +142,6 @@
 			c.loop.Put(note{Conn: c, n: n, err: err, what: wrote})
 		}
 	}()
-	c.Resume()
 }
 
 // swallow reads until the connection ends, by its peer or by us.
@@ -154,8 +168,13 @@
 		if c.detached != nil && errors.Is(n.err, os.ErrDeadlineExceeded) {
 			n.err = nil // that is what ended the read
 		}
-		if n.n > 0 && !c.ended && !c.quits {
-			c.In.Add(n.n)
+		first := c.first
+		if c.first = nil; n.n > 0 && !c.ended && !c.quits {
+			if first != nil {
+				c.In.Write(first[:n.n])
+			} else {
+				c.In.Add(n.n)
+			}
 			c.owner.Read(c)
 		}
 	case wrote:
@@ -223,7 +242,9 @@
 	c.release()
 	c.net.Close()
 	close(c.toRead)
-	close(c.toWrite)
+	if c.toWrite != nil {
+		close(c.toWrite)
+	}
 }
 
 // settle lets go of a connection that has ended once both goroutines have given their bytes back.
@@ -311,18 +332,33 @@
 	if c.ended || !c.up {
 		return
 	}
-	if b := c.In.Room(); !c.reading && !c.deaf && c.detached == nil && (len(b) > 0 || c.quits) {
-		if c.reading = true; c.quits {
-			b = nil // to be swallowed
-		}
-		c.toRead <- b
+	if !c.reading && !c.deaf && c.detached == nil {
+		c.read()
 	}
 	if b := c.out.Bytes(); !c.writing && len(b) > 0 {
-		c.writing = true
+		if c.writing = true; c.toWrite == nil {
+			c.writes()
+		}
 		c.toWrite <- b
 	}
 }
 
+func (c *Conn) read() {
+	var b []byte // none: to be swallowed
+	switch {
+	case c.quits:
+	case c.In.Empty():
+		b = make([]byte, firstly)
+		c.first = b
+	default:
+		if b = c.In.Room(); len(b) == 0 {
+			return
+		}
+	}
+	c.reading = true
+	c.toRead <- b
+}
+
 // Detach stops the reading and tells once, when all that was read is in and all that was written has gone out: then the
 // socket can be another process's. It does not tell if the connection ends before.
 func (c *Conn) Detach(done func()) {
@@ -362,15 +398,20 @@
 type Use uint8
 
 const (
-	Busy  Use = iota // an invocation, or an answer
-	Begun            // a request that is not whole yet, if any, and so is not taken
-	Idle             // nothing
-	Done             // nothing, and nothing is to be expected
+	Busy   Use = iota // an invocation, or an answer
+	Mute              // a request may be on its way, but nothing has come
+	Begun             // a request that is not whole yet, and so is not taken
+	Moving            // the same, and it has gone on
+	Idle              // nothing
+	Done              // nothing, and nothing is to be expected
 )
 
-// Set says what the connection is in use for; it is Busy to begin with.
+// Set says what the connection is in use for; it is Busy to begin with. Begun again is progress.
 func (c *Conn) Set(u Use) {
-	if c.use == u || c.ended && u != Busy {
+	switch {
+	case u == Begun && (c.use == Moving || c.use == Begun && c.loop.now >= c.since+goesOn):
+		u = Moving
+	case c.use == u || c.ended && u != Busy:
 		return
 	}
 	spare := &c.share.spare
@@ -440,14 +481,26 @@
 	return true
 }
 
+// leastUseful: those on which nothing is to come, those that say nothing, those that have stopped in the midst; then idle
+// ones, whose clients lose nothing but a connection; then whatever has no whole request. Always the longest so.
 func (s *Share) leastUseful() *Conn {
-	if begun := s.spare[Begun]; len(begun) > 0 && len(s.spare[Done]) == 0 && s.loop.now >= begun[0].since+young {
-		return begun[0]
-	}
-	for _, u := range []Use{Done, Idle, Begun} {
-		if len(s.spare[u]) > 0 {
-			return s.spare[u][0]
+	for _, v := range []struct {
+		use  Use
+		span time.Duration
+	}{{Done, 0}, {Mute, young}, {Begun, stalled}, {Moving, stalled}, {Idle, 0}, {Mute, young / 5},
+		{Begun, young}} {
+		if spare := s.spare[v.use]; len(spare) > 0 && s.loop.now >= spare[0].since+v.span {
+			return spare[0]
 		}
 	}
-	return nil
+	mute, begun := s.spare[Mute], s.spare[Begun]
+	switch {
+	case len(mute) == 0 && len(begun) == 0 && len(s.spare[Moving]) > 0:
+		return s.spare[Moving][0]
+	case len(mute) == 0 && len(begun) == 0:
+		return nil
+	case len(begun) == 0 || len(mute) > 0 && mute[0].since < begun[0].since:
+		return mute[0]
+	}
+	return begun[0]
 }
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -206,34 +206,52 @@
 	}
 }
 
-// For want of descriptors those go on which nothing is to come, then those with half a request that are not quite new,
-// then idle ones, never one that is in use.
+// For want of descriptors those go on which nothing is to come, then those that have said nothing for a while, then those
+// that have stopped in the midst, then idle ones, then those that have begun; never one that is in use. A byte is progress.
 func Example_spare() {
-	defer func(before time.Duration) { young = before }(young)
-	young = 0
+	defer func(a, b time.Duration) { young, stalled = a, b }(young, stalled)
+	young, stalled = 20*time.Millisecond, 60*time.Millisecond
 	l := NewLoop(time.Now())
-	s := l.Share(5)
+	s := l.Share(8)
 	addr, shut := peer(func(c net.Conn) { io.Copy(io.Discard, c) })
 	defer shut()
-	owners := []*owner{{}, {}, {}, {}}
-	for i, o := range owners {
+	uses := []Use{Idle, Busy, Begun, Done, Mute, Begun}
+	var owners []*owner
+	var conns []*Conn
+	for _, use := range uses {
+		o := &owner{}
 		c := s.Dial(addr, time.Second, o)
 		await(l, "the connection", func() bool { return len(o.seen) > 0 })
-		c.Set([]Use{Idle, Busy, Begun, Done}[i])
+		c.Set(use)
+		owners, conns = append(owners, o), append(conns, c)
 	}
-	for keep := range 5 {
+	later := false
+	l.After(80*time.Millisecond, func() { later = true })
+	await(l, "some time", func() bool { return later })
+	conns[5].Set(Begun) // progress
+	young0 := &owner{}
+	c := s.Dial(addr, time.Second, young0)
+	await(l, "the last", func() bool { return len(young0.seen) > 0 })
+	c.Set(Mute)
+	owners = append(owners, young0)
+	for keep := range 8 {
 		fmt.Print(s.Spare(keep), " ", s.Used())
-		for _, o := range owners {
-			fmt.Print(" ", o.seen)
+		for i, o := range owners {
+			if len(o.seen) > 1 {
+				fmt.Print(" ", []string{"idle", "busy", "stopped", "done", "mute", "begun", "new"}[i])
+			}
 		}
 		fmt.Println()
 	}
 	// Output:
-	// true 4 [up] [up] [up] [up]
-	// true 3 [up] [up] [up] [up crowded]
-	// true 2 [up] [up] [up crowded] [up crowded]
-	// true 1 [up crowded] [up] [up crowded] [up crowded]
-	// false 1 [up crowded] [up] [up crowded] [up crowded]
+	// true 7
+	// true 6 done
+	// true 5 done mute
+	// true 4 stopped done mute
+	// true 3 idle stopped done mute
+	// true 2 idle stopped done mute new
+	// true 1 idle stopped done mute begun new
+	// false 1 idle stopped done mute begun new
 }
 
 // A peer that sends without end after it was refused gets its answer whole, costs the loop no turns, and ends in time.
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -160,3 +160,29 @@
 		}
 	})
 }
+
+// Every message cut in two at every byte is read as it is in one.
+func TestEverySplit(t *testing.T) {
+	for _, v := range []struct {
+		text    string
+		answers bool
+	}{
+		{"POST /render/7f?x=1 HTTP/1.1\r\nHost: b\r\nContent-Length: 9\r\n\r\n0\r\n\r\nabcdGET /-/ready HTTP/1.1\r\n\r\n", false},
+		{"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrail: 1\r\n\r\n", false},
+		{"POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", false},
+		{"POST /a HTTP/1.1\r\nX: a\rb\r\n\r\n", false},
+		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 204 No Content\r\n\r\n", true},
+	} {
+		whole := feed(&Parser{Answers: v.answers}, v.text, len(v.text))
+		for cut := 1; cut < len(v.text); cut++ {
+			p := &Parser{Answers: v.answers}
+			parts := feed(p, v.text[:cut], cut)
+			if n := len(parts); n == 0 || !strings.Contains(parts[n-1], ": ") { // after an error nothing is fed any more
+				parts = append(parts, feed(p, v.text[cut:], len(v.text))...)
+			}
+			if !slices.Equal(parts, whole) {
+				t.Errorf("%.30q cut at %d: %q, in one: %q", v.text, cut, parts, whole)
+			}
+		}
+	}
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -41,6 +41,9 @@
 	b.from = (b.from + n) % Size
 }
 
+// Empty tells that the ring holds no store yet, or none any more.
+func (b *Buffer) Empty() bool { return b.store == nil }
+
 // Len counts the bytes held.
 func (b *Buffer) Len() int { return b.size }
 
