--- a/cmd/stoatweir/retune.go
+++ b/cmd/stoatweir/retune.go
@@ -53,8 +53,7 @@
 		under[j.operation] = true
 	}
 	site, from := s.site.Retune(newer, func(index int) bool { return !under[index] })
-	rules := &site.Deployment.Rules
-	rules.AskWithin = min(rules.AskWithin, toldWithin)
+	onSockets(&site.Deployment)
 	s.site = site
 	s.door.Retune(site)
 	s.fleet.Retune(site)
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -81,8 +81,7 @@
 
 func newService(node settings.Node, log *logrus.Entry) *service {
 	start, given := time.Now(), node
-	rules := &node.Site.Deployment.Rules
-	rules.AskWithin = min(rules.AskWithin, toldWithin)
+	onSockets(&node.Site.Deployment)
 	loop := conn.NewLoop(start)
 	ours, theirs, book := loop.Share(0), loop.Share(0), ledger.New()
 	s := &service{loop: loop, ours: ours, theirs: theirs, log: log, book: book, node: given, site: node.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
@@ -107,6 +106,12 @@
 	return s
 }
 
+// onSockets adds what holds on sockets, whatever the settings say.
+func onSockets(d *dispatch.Deployment) {
+	d.Rules.AskWithin = min(d.Rules.AskWithin, toldWithin)
+	d.TellsTaken = true
+}
+
 // resize sets how many descriptors there are in all.
 func (s *service) resize(sockets int) {
 	sockets -= otherFiles
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -63,7 +63,8 @@
 // tune takes over what a deployment tells. Invocations under way keep the operation under which they came.
 func (d *Dispatcher) tune(n Retuned) {
 	h, k, dep := &d.house, &d.desk, n.Deployment
-	h.probes, h.progress, h.tellsStart = dep.Allowed.Probes, dep.Progress, dep.TellsStart
+	h.probes, h.progress, h.tellsTaken = dep.Allowed.Probes, dep.Progress, dep.TellsTaken
+	h.tellsStart = dep.TellsStart
 	h.window, h.coldFrom, h.warmAfter = dep.Rules.Fall, dep.Rules.ColdFrom, dep.Rules.WarmAfter
 	if d.asks, d.within = !dep.Pushed, dep.Rules.AskWithin; dep.Me >= 0 || n.From == nil {
 		d.me = dep.Me
@@ -90,27 +91,6 @@
 	return d.out
 }
 
-// enter finds whom an event is for. What is about an invocation that is not held any more is passed over.
-func (d *Dispatcher) enter(event Event) {
-	id, worker := event.About()
-	at, known := d.workerAt[worker]
-	inv, held := d.invAt[id]
-	if begins(event) && !held {
-		inv, held = d.desk.slot(), true
-		d.invAt[id] = inv
-	}
-	switch n := (about{inv: inv, event: event}); {
-	case id > 0 && !held:
-	case known:
-		d.meet(at).put(n)
-	case held:
-		d.desk.put(n)
-	default:
-		d.put(event)
-	}
-	d.settle()
-}
-
 func (d *Dispatcher) read(note any) {
 	switch n := note.(type) {
 	case freed:
@@ -139,16 +119,6 @@
 	}
 }
 
-func (d *Dispatcher) meet(at int) *worker {
-	p := &d.list[at]
-	if p.worker == nil {
-		p.worker = &worker{inbox: inbox{house: &d.house}, desk: &d.desk.inbox, id: p.Worker, card: card{at: at}}
-		p.worker.inbox.read = p.worker.read
-		p.worker.put(listed{p.Entry, p.lot})
-	}
-	return p.worker
-}
-
 // next asks the worker whose turn it is, which chance sets: one in all schedulers' pools would draw a crowd.
 func (d *Dispatcher) next(w wanted) {
 	for n := 0; n < len(d.order); {
@@ -248,6 +218,9 @@
 		switch e := n.event.(type) {
 		case Sign:
 			if f := w.find(n.inv, e.Forward); f != nil {
+				if f.taken = true; e.Taken { // no sign that work goes on: one that hangs takes all it gets
+					break
+				}
 				if w.lastSign, f.heard = w.now, w.now; e.Started {
 					if f.began == 0 && w.now < f.sent+2*beat {
 						w.desk.put(begun{1})
@@ -269,15 +242,6 @@
 	w.tell()
 }
 
-func (w *worker) held(at time.Duration) (n need) {
-	for i := range w.errands {
-		if e := &w.errands[i]; e.sent <= at && (e.end == 0 || at < e.end) && e.sent >= w.startedAt {
-			n = n.plus(1, e.need)
-		}
-	}
-	return n
-}
-
 func (w *worker) tell() {
 	mine := w.held(w.now)
 	w.open, w.trial, w.known = w.standing == Ready && !w.aside, w.wanted > 0, len(w.figures) > 0
@@ -459,6 +423,11 @@
 		switch {
 		case e.end != 0 || e.lost || w.aside:
 			continue
+		case w.tellsTaken && !e.taken && w.now >= e.sent+patience:
+			// The connection may have fallen silent under the request, whatever else is heard of the worker.
+			e.lost = true
+			w.desk.put(stuck{e.inv, e.fwd})
+			continue
 		case w.progress > 0 && e.began > 0 && w.lastSign > e.heard+w.progress+patience:
 			// The worker has told of others since this one's note was due: it has lost this one, or its answer.
 			e.lost = true
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -109,7 +109,7 @@
 		if !t.Out {
 			continue
 		}
-		e := errand{inv: i, fwd: f, need: j.need, work: j.work, cost: t.Cost, lost: t.Stuck, sent: max(0, k.now-t.Age)}
+		e := errand{inv: i, fwd: f, need: j.need, work: j.work, cost: t.Cost, lost: t.Stuck, taken: true, sent: max(0, k.now-t.Age)}
 		if t.Began >= 0 {
 			e.began = max(1, k.now-t.Began)
 		}
--- a/dispatch/retune_test.go
+++ b/dispatch/retune_test.go
@@ -76,3 +76,26 @@
 	// 1 [1 to b worker b is set aside: fails what it gets 1 to a]
 	// 0
 }
+
+// Where workers say that they have taken a forward, one without that word counts as stuck: its connection may have fallen
+// silent, though other work there goes on. What may run only once is waited for. One that was taken waits in a queue.
+func Example_notTaken() {
+	dep := shop()
+	dep.TellsTaken, dep.TellsStart = true, true
+	p := start(dep, ready('a', 0), ready('b', 0))
+	p.quiet = true
+	p.at(10*ms, free('a', 8), free('b', 8))
+	p.at(20*ms, job(1, 0, 1), job(2, 2, 1), job(3, 0, 1))
+	p.tell("sent")
+	p.at(30*ms, Sign{Inv: 3, Worker: p.went[3][0], Taken: true})
+	for n := range 40 {
+		p.at(40*ms+time.Duration(n)*beat, Due{}, Sign{Inv: 3, Worker: p.went[3][0], Started: true})
+	}
+	p.tell("0.8 s later")
+	p.at(900*ms, p.end(1, 1, Succeeded), p.end(2, 0, Succeeded))
+	p.tell("answers")
+	// Output:
+	// sent: 2 to b; 1 to a; 3 to a
+	// 0.8 s later: 1 to b
+	// answers: 1 cancels forward 0
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -54,6 +54,7 @@
 	ExcessValue float64 // billed value of what a tenant sends beyond its share, as a part of the usual
 	Pushed      bool    // list changes come unasked
 	TellsStart  bool
+	TellsTaken  bool          // a sign says when a worker has taken a forward
 	Progress    time.Duration // span between progress notes; 0: none are sent
 	Allowed     Allowances
 	Rules       Rules
@@ -129,6 +130,7 @@
 	Inv     InvID
 	Worker  WorkerID
 	Forward int
+	Taken   bool    // it has it, and may not have looked at it yet
 	Started bool    // else a progress note
 	Done    float64 // part of the work done
 }
@@ -270,7 +272,7 @@
 	rng                              *rand.Rand
 	out                              []Action
 	unread                           []*inbox // with notes in them, oldest first
-	probes, tellsStart               bool
+	probes, tellsStart, tellsTaken   bool
 	coldFrom                         float64
 }
 
@@ -381,7 +383,7 @@
 	inv, fwd int
 	need
 	work, cost              float64
-	lost                    bool
+	lost, taken             bool
 	sent, began, heard, end time.Duration // end: when its slots are free again; 0 while it is out
 }
 
@@ -527,6 +529,47 @@
 	return nil
 }
 
+// enter finds whom an event is for. What is about an invocation that is not held any more is passed over.
+func (d *Dispatcher) enter(event Event) {
+	id, worker := event.About()
+	at, known := d.workerAt[worker]
+	inv, held := d.invAt[id]
+	if begins(event) && !held {
+		inv, held = d.desk.slot(), true
+		d.invAt[id] = inv
+	}
+	switch n := (about{inv: inv, event: event}); {
+	case id > 0 && !held:
+	case known:
+		d.meet(at).put(n)
+	case held:
+		d.desk.put(n)
+	default:
+		d.put(event)
+	}
+	d.settle()
+}
+
+func (d *Dispatcher) meet(at int) *worker {
+	p := &d.list[at]
+	if p.worker == nil {
+		p.worker = &worker{inbox: inbox{house: &d.house}, desk: &d.desk.inbox, id: p.Worker, card: card{at: at}}
+		p.worker.inbox.read = p.worker.read
+		p.worker.put(listed{p.Entry, p.lot})
+	}
+	return p.worker
+}
+
+// held is what of ours the worker had at a time.
+func (w *worker) held(at time.Duration) (n need) {
+	for i := range w.errands {
+		if e := &w.errands[i]; e.sent <= at && (e.end == 0 || at < e.end) && e.sent >= w.startedAt {
+			n = n.plus(1, e.need)
+		}
+	}
+	return n
+}
+
 // live counts the forwards that are out. first is the first that may have run.
 func (j *inv) live() (out int, first *tried) {
 	for f := range j.tries {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -160,6 +160,7 @@
 			o.line = nil
 			if m != nil && m.Status == 202 {
 				o.taken = true
+				f.Event(dispatch.Sign{Inv: inv.Inv, Worker: to, Forward: fwd, Taken: true})
 				return
 			}
 			if m != nil {
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -88,7 +88,7 @@
 			s.note("probe ends: %d load=%v", e.Result, e.Load != nil)
 		case dispatch.Sign:
 			s.ended++
-			s.note("inv %d forward %d: started=%v done=%v", e.Inv, e.Forward, e.Started, e.Done)
+			s.note("inv %d forward %d: taken=%v started=%v done=%v", e.Inv, e.Forward, e.Taken, e.Started, e.Done)
 		}
 	}
 	s.Deliver = func(inv dispatch.InvID, result string) {
@@ -172,11 +172,13 @@
 	fmt.Println("news:", s.Counts.News, "strange:", s.Counts.Strange, "dialled:", s.Counts.Dialled, "out:", s.Out())
 	// Output:
 	// connection 1: POST /render/7f HTTP/1.1 id1 body
-	// inv 1 forward 0: started=true done=0
-	// inv 1 forward 0: started=false done=0.4
+	// inv 1 forward 0: taken=true started=false done=0
+	// inv 1 forward 0: taken=false started=true done=0
+	// inv 1 forward 0: taken=false started=false done=0.4
 	// to the client: 1 fine
 	// inv 1 forward 0 ends: 0 closed=true load=false
 	// connection 1: POST /render/7f HTTP/1.1 id2 body
+	// inv 2 forward 0: taken=true started=false done=0
 	// inv 2 forward 0 ends: 2 closed=false load=false
 	// news: 8 strange: 4 dialled: 1 out: 0
 }
@@ -197,6 +199,7 @@
 	// connection 1 ends
 	// inv 1 forward 0 ends: 5 closed=false load=false
 	// connection 2: POST /render/7f HTTP/1.1 id2 body
+	// inv 2 forward 0: taken=true started=false done=0
 	// inv 2 forward 0 ends: 1 closed=false load=false
 }
 
@@ -247,10 +250,12 @@
 	// connection 1 ends
 	// inv 1 forward 0 ends: 6 closed=false load=false
 	// connection 2: POST /render/7f HTTP/1.1 id2 body
+	// inv 2 forward 0: taken=true started=false done=0
 	// connection 2: DELETE /jobs/id2 HTTP/1.1
 	// inv 2 forward 0 ends: 6 closed=false load=false
 	// connection 2: POST /render/7f HTTP/1.1 id3 body
 	// connection 2: DELETE /jobs/id3 HTTP/1.1
+	// inv 3 forward 0: taken=true started=false done=0
 	// inv 3 forward 0 ends: 3 closed=false load=false
 }
 
@@ -317,6 +322,7 @@
 	// probe ends: 3 load=false
 	// connection 1 ends
 	// connection 2: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 0: taken=true started=false done=0
 	// dialled: 2
 }
 
@@ -335,6 +341,7 @@
 	fmt.Println(s.keeps())
 	// Output:
 	// connection 1: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 0: taken=true started=false done=0
 	// connection 1: POST /render/7f HTTP/1.1 id2 body
 	// inv 2 forward 0 ends: 9 closed=false load=false
 	// connection 2: POST /render/7f HTTP/1.1 id3 body
