Tests of the fleet wait for the 202 itself, not for the worker's having heard

The stage waited until the scripted worker had read the request, and took the news at once; the worker writes its 202 only after telling that it has read, so under load the news was taken first, which is right and prints no sign. Ruled out: the fleet's own order (a 202 after the end is dropped on purpose, Example_newsFirst shows it). Five more places waited the same way or for 20 ms.

--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -143,6 +143,22 @@
 	s.ended, s.lines = 0, nil
 }
 
+// settle runs the loop until something holds that no event tells of.
+func (s *stage) settle(what string, holds func() bool) {
+	late := s.loop.After(10*time.Second, func() { panic("waited in vain for " + what) })
+	s.loop.Run(func() {
+		if s.loop.After(time.Millisecond, func() {}); holds() {
+			s.loop.Stop()
+		}
+	})
+	late.Stop()
+}
+
+// answered waits until the last answer is in, also one of which nobody is told: its connection is idle again.
+func (s *stage) answered() {
+	s.settle("an idle connection", func() bool { return len(s.byUID["s-1"].idle) > 0 })
+}
+
 const (
 	took  = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 	turns = "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nX-Load-Report: TEXT x0=0.5\r\nContent-Length: 0\r\n\r\n"
@@ -155,7 +171,7 @@
 func Example_news() {
 	s := perform(took, took)
 	s.Forward(s.job(1), 0, s.id)
-	s.until(0, 1)
+	s.until(1, 1)
 	s.Take(News{ID: "id1", From: "s-1", State: "started"})
 	s.Take(News{ID: "id1", From: "s-1", State: "running", Share: 0.4})
 	s.Take(News{ID: "id1", From: "s-2", State: "done", Result: result("another's")})
@@ -163,10 +179,9 @@
 	s.Take(News{ID: "id1", From: "s-1", State: "unheard"})
 	s.Take(News{ID: "id1", From: "s-1", State: "done", Result: result("fine")})
 	s.Take(News{ID: "id1", From: "s-1", State: "done", Result: result("again")})
-	s.loop.After(20*time.Millisecond, func() { s.ended++ })
-	s.until(4, 0)
+	s.until(3, 0)
 	s.Forward(s.job(2), 0, s.id)
-	s.until(0, 1)
+	s.until(1, 1)
 	s.Take(News{ID: "id2", From: "s-1", State: "returned"})
 	s.until(1, 0)
 	fmt.Println("news:", s.Counts.News, "strange:", s.Counts.Strange, "dialled:", s.Counts.Dialled, "out:", s.Out())
@@ -191,7 +206,7 @@
 	s.Take(News{ID: "id1", From: "s-1", State: "lost"})
 	s.until(1, 1) // the connection whose answer does not come is given up
 	s.Forward(s.job(2), 0, s.id)
-	s.until(0, 1)
+	s.until(1, 1)
 	s.Take(News{ID: "id2", From: "s-1", State: "done"})
 	s.until(1, 0)
 	// Output:
@@ -238,13 +253,14 @@
 	s.Cancel(1, 0)
 	s.until(1, 1)
 	s.Forward(s.job(2), 0, s.id)
-	s.until(0, 1)
-	s.loop.After(20*time.Millisecond, func() { s.Cancel(2, 0) })
 	s.until(1, 1)
+	s.Cancel(2, 0)
+	s.until(1, 1)
+	s.answered()
 	late := s.job(3)
-	late.GivenUp = s.loop.Now() + 50*time.Millisecond
-	s.loop.After(20*time.Millisecond, func() { s.Forward(late, 0, s.id) })
-	s.until(1, 2)
+	late.GivenUp = s.loop.Now() + time.Second
+	s.Forward(late, 0, s.id)
+	s.until(2, 2)
 	// Output:
 	// connection 1: POST /render/7f HTTP/1.1 id1 body
 	// connection 1 ends
@@ -270,8 +286,8 @@
 	s.stand(dispatch.Ready)
 	s.Forward(s.job(2), 0, s.id)
 	s.Cancel(2, 0)
-	s.loop.After(20*time.Millisecond, func() { s.ended++ })
-	s.until(2, 0)
+	s.until(1, 0)
+	s.settle("sockets in use", func() bool { return s.share.Used() == 0 })
 	fmt.Println("sockets:", s.share.Used())
 	// Output:
 	// inv 1 forward 0 ends: 4 closed=false load=false
@@ -311,7 +327,7 @@
 		s.until(1, 1)
 	}
 	s.Forward(s.job(1), 0, s.id)
-	s.until(0, 2)
+	s.until(1, 2)
 	fmt.Println("dialled:", s.Counts.Dialled)
 	// Output:
 	// connection 1: GET /-/load HTTP/1.1
@@ -331,9 +347,9 @@
 func Example_stale() {
 	s := perform(took, "-", "-")
 	s.Forward(s.job(1), 0, s.id)
-	s.until(0, 1)
+	s.until(1, 1)
 	for n := dispatch.InvID(2); n <= 3; n++ {
-		s.loop.After(20*time.Millisecond, func() { s.Forward(s.job(n), 0, s.id) })
+		s.Forward(s.job(n), 0, s.id)
 		s.until(1, 1)
 	}
 	fmt.Println("kept for less:", s.keeps() < keepLeast)
