--- a/cmd/stoatweir/rig_test.go
+++ b/cmd/stoatweir/rig_test.go
@@ -209,6 +209,18 @@
 	r.t.Fatalf("%q was not logged %d times\n%s", what, times, text)
 }
 
+// logs are what all processes have said.
+func (r *rig) logs() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all strings.Builder
+	for _, p := range r.processes {
+		text, _ := os.ReadFile(p.log)
+		fmt.Fprintf(&all, "-- process %d\n%s", p.Process.Pid, text)
+	}
+	return all.String()
+}
+
 // ask is an operator's call.
 func (p *process) ask(word string) string {
 	c, err := net.Dial("tcp", p.admin)
