--- a/cmd/stoatweir/main.go
+++ b/cmd/stoatweir/main.go
@@ -36,6 +36,14 @@
 const adminTries, adminAgain = 100, 50 * time.Millisecond
 
 func main() {
+	if len(os.Args) > 1 {
+		os.Exit(execute(os.Args[1:]))
+	}
+	scheduler()
+}
+
+// scheduler is one scheduler, until it is told to end.
+func scheduler() {
 	// First of all: an order to read the configuration anew that came any earlier would end the program. Orders that
 	// come while one is carried out are one, as the file is read after the last of them.
 	reloads := make(chan os.Signal, 1)
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,199 @@
+// Package scenario reads the description of a day: who serves, what comes in, and what goes wrong when.
+package scenario
+
+import (
+	"time"
+)
+
+// Version is that of the file's form.
+const Version = 1
+
+// Span is a length of time, written as "250ms".
+type Span time.Duration
+
+// UnmarshalText reads one.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	*s = Span(d)
+	return err
+}
+
+// D is the span as others count it.
+func (s Span) D() time.Duration { return time.Duration(s) }
+
+// Scenario is a day.
+type Scenario struct {
+	Version    int
+	Name       string
+	Seed       int64
+	Length     Span
+	Zones      []string
+	Schedulers Schedulers
+	Network    Network
+	List       List
+	Rules      Rules
+	Allow      Allow
+	Reports    Reports
+	Signs      Signs
+	Workers    []Workers
+	Operations []Operation
+	Tenants    []Tenant
+	Load       Load
+	Clients    Clients
+	Troubles   []Trouble
+}
+
+// Schedulers are the dispatchers; they are spread over the zones in turn.
+type Schedulers struct {
+	Count    int
+	Told     int  // how many they are told that there are; 0: the truth
+	Restarts Span // how long a killed one is away
+	Notice   Span // until clients turn away from one that is gone
+}
+
+// Network has the times that a message takes one way.
+type Network struct {
+	SameZone       Span `toml:"same_zone"`
+	CrossZone      Span `toml:"cross_zone"`
+	Client         Span
+	Jitter         float64
+	ConnectTimeout Span `toml:"connect_timeout"`
+	Idle           Span
+}
+
+// List is the service that tells schedulers of workers.
+type List struct {
+	Notice       Span    // until it knows of a start, a drain or an end
+	SilentNotice Span    `toml:"silent_notice"` // until it takes a silent machine for gone
+	Call         Span    // that a call takes
+	CallsPerS    float64 `toml:"calls_per_s"`
+	Deemed       Span    // after which a change counts as told, whether or not it was
+}
+
+// Rules are the figures of the four rules.
+type Rules struct {
+	AnswerSlack  Span `toml:"answer_slack"`
+	StopSending  Span `toml:"stop_sending"`
+	AskWithin    Span `toml:"ask_within"`
+	Fall         Span
+	FallMultiple float64 `toml:"fall_multiple"`
+}
+
+// Allow says what schedulers may do.
+type Allow struct {
+	Probes        bool
+	Cancel        bool
+	SecondCopies  bool `toml:"second_copies"`
+	MaxForwards   int  `toml:"max_forwards"`
+	MaxRetryAfter Span `toml:"max_retry_after"`
+}
+
+// Reports are what workers tell of their load when they are probed.
+type Reports struct {
+	Fields []string // free_slots, waiting, active, service_ms
+	Every  Span
+	Delay  Span
+}
+
+// Signs are what workers tell of work under way.
+type Signs struct {
+	Start    bool
+	Progress Span
+}
+
+// Workers are a group of equal machines, spread over the zones in turn.
+type Workers struct {
+	Name     string
+	Count    int
+	Slots    int
+	Speed    float64
+	Spread   float64 // each one's speed lies so far off at most, as a part
+	Queue    int
+	ColdFrom float64 `toml:"cold_from"`
+	Warm     Span
+	Cold     bool   // they have just started when the day begins
+	Cancels  string // what a cancel stops: none, queued or all
+	Zone     string // the one zone of all of them
+}
+
+// Operation is one kind of work.
+type Operation struct {
+	Name      string
+	Share     float64
+	Work      Span // the mean, on a machine of speed 1
+	CV        float64
+	Slots     int
+	Objective Span
+	Timeout   Span
+	Stretch   float64 // the objective grows by so many times an invocation's own work
+	Value     float64
+	Effect    string // idempotent, deduplicated or non-idempotent
+	Scope     string // of deduplication: all or zone
+	Window    Span
+	Hints     string // none, rough or good
+}
+
+// Tenant is one customer.
+type Tenant struct {
+	Name  string
+	Share float64
+}
+
+// Load is what comes in.
+type Load struct {
+	Rate  float64 // invocations a second, all together; or
+	Of    float64 // that part of what the workers can do
+	Shape string  // poisson, constant or bursts
+	Steps []Step
+}
+
+// Step changes the rate for a time.
+type Step struct {
+	At     Span
+	For    Span
+	Factor float64
+}
+
+// Clients ask again when they are turned away.
+type Clients struct {
+	Retries int
+	Backoff Span
+	Honour  float64 // share of them that keep to Retry-After
+	Leave   float64 // share that leaves before its time is over
+}
+
+// Trouble is something that goes wrong.
+type Trouble struct {
+	Kind   string
+	At     Span
+	For    Span
+	Share  float64 // of the workers, schedulers, connections, calls or invocations that it hits
+	Zone   string  // it hits this zone alone
+	Factor float64
+	Delay  Span
+	Batch  float64 // of a replacement: the share that goes at a time
+	Of     string  // the one operation that it hits
+}
+
+// The kinds of trouble.
+const (
+	Silent         = "silent"          // machines say nothing, and are cold when they are back
+	Hung           = "hung"            // take work, answer neither that nor probes
+	Slow           = "slow"            // run Factor times slower
+	Failing        = "failing"         // fail Share of what they get, at once; Factor is the share of workers
+	Restart        = "restart"         // processes die, and are back cold after Delay
+	Replace        = "replace"         // Share of the workers give way to new ones, Batch at a time
+	ZoneLost       = "zone-lost"       // all machines of Zone are silent, and are cold when they are back
+	ReportsLate    = "reports-late"    // by Delay
+	ReportsAbsent  = "reports-absent"  // probes are answered without one
+	ListStale      = "list-stale"      // what it learns it tells Delay later
+	ListOverbooked = "list-overbooked" // serves a Factor-th of its calls a second
+	ListDead       = "list-dead"       // calls fail, watches end
+	Refused        = "refused"         // Share of new connections to workers are refused
+	Reset          = "reset"           // Share of attempts break when they have been taken
+	AnswersLost    = "answers-lost"    // Share of what workers call back is lost
+	Killed         = "killed"          // Share of the schedulers die
+	Burst          = "burst"           // Factor times as much comes in
+	Heavy          = "heavy"           // Share of the invocations (Of an operation) cost Factor times as much
+	Storm          = "storm"           // clients ask again up to Factor times, at once
+)
--- /dev/null
+++ b/internal/lab/trace/trace.go
@@ -0,0 +1,363 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/csv"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"stoatweir/internal/lab/scenario"
+	"stoatweir/internal/lab/world"
+)
+
+// Kind is a way in which a row is not as it should be.
+type Kind uint8
+
+const (
+	Bad Kind = iota
+	Order
+	Jump
+	Long
+	Unknown
+	kinds
+)
+
+var kindNames = [...]string{"bad", "out of order", "clock jump", "too long", "unknown operation"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// linesKept is how many lines of each kind are named.
+const linesKept = 10
+
+// Counts of what was met.
+type Counts struct {
+	Rows, Used int
+	Kinds      [kinds]int
+	Lines      [kinds][]int // the first ones of each kind
+	Ended      string       // why it was not read to its end
+}
+
+// MarshalJSON names the kinds.
+func (c Counts) MarshalJSON() ([]byte, error) {
+	odd := map[string]any{}
+	for k, n := range c.Kinds {
+		if n > 0 {
+			odd[kindNames[k]] = map[string]any{"rows": n, "first_lines": c.Lines[k]}
+		}
+	}
+	return json.Marshal(map[string]any{"rows": c.Rows, "used": c.Used, "odd": odd, "ended": c.Ended})
+}
+
+// Reader is a source of invocations.
+type Reader struct {
+	Counts
+
+	m        Mapping
+	s        scenario.Scenario
+	clients  *world.Clients
+	in       *bufio.Reader
+	line     int
+	at       map[string]int // columns
+	widest   int
+	rng      *rand.Rand
+	ops      map[string]int
+	any      int // operation for all others; -1: none
+	tenants  map[string]int
+	begun    bool
+	last     float64 // time of the row before, as it was recorded
+	first    float64
+	shift    float64 // what jumps and the like have taken out
+	previous time.Duration
+	stopped  bool
+}
+
+// Open begins a trace. An empty one, or one whose columns are missing, is an error: nothing is guessed.
+func Open(in io.Reader, m Mapping, s scenario.Scenario, clients *world.Clients) (*Reader, error) {
+	r := &Reader{m: m, s: s, clients: clients, in: bufio.NewReaderSize(in, 1<<16), at: map[string]int{}, any: -1, ops: map[string]int{},
+		tenants: map[string]int{}, rng: rand.New(rand.NewPCG(uint64(s.Seed), 0x7472))}
+	index := map[string]int{}
+	for i, o := range s.Operations {
+		index[o.Name] = i
+	}
+	for value, op := range m.Operations {
+		if value == "*" {
+			r.any = index[op]
+		} else {
+			r.ops[value] = index[op]
+		}
+	}
+	if len(m.Operations) == 0 {
+		r.any = 0
+	}
+	for i, t := range s.Tenants {
+		r.tenants[t.Name] = i
+	}
+	wanted := []struct{ key, name string }{{"time", m.Columns.Time}, {"work", m.Columns.Work}, {"end", m.Columns.End},
+		{"operation", m.Columns.Operation}, {"tenant", m.Columns.Tenant}, {"slots", m.Columns.Slots}}
+	var header []string
+	if m.Header {
+		fields, _, err := r.row()
+		if err == io.EOF {
+			return nil, errors.New("the trace is empty")
+		}
+		if err != nil {
+			return nil, fmt.Errorf("the header: %w", err)
+		}
+		header = fields
+	} else if _, err := r.in.Peek(1); err != nil {
+		return nil, errors.New("the trace is empty")
+	}
+	for _, w := range wanted {
+		if w.name == "" {
+			continue
+		}
+		at := -1
+		if n, err := strconv.Atoi(w.name); err == nil && !m.Header {
+			at = n
+		}
+		for i, name := range header {
+			if strings.TrimSpace(name) == w.name {
+				at = i
+			}
+		}
+		if at < 0 {
+			return nil, fmt.Errorf("columns.%s: there is no column %q, but %q", w.key, w.name, header)
+		}
+		r.at[w.key] = at
+		r.widest = max(r.widest, at)
+	}
+	return r, nil
+}
+
+var errLong = errors.New("the line is too long")
+
+// row reads one line. A long one is passed over without being held.
+func (r *Reader) row() ([]string, int, error) {
+	for {
+		var line []byte
+		long := false
+		for {
+			part, err := r.in.ReadSlice('\n')
+			if !long {
+				line = append(line, part...)
+				if len(line) > r.m.RowMost {
+					long, line = true, nil
+				}
+			}
+			if errors.Is(err, bufio.ErrBufferFull) {
+				continue
+			}
+			if err == io.EOF && len(part) == 0 && len(line) == 0 && !long {
+				return nil, r.line, io.EOF
+			}
+			if err != nil && err != io.EOF {
+				return nil, r.line, err
+			}
+			break
+		}
+		r.line++
+		if long {
+			return nil, r.line, errLong
+		}
+		if line = bytes.TrimRight(line, "\r\n"); len(line) == 0 {
+			continue
+		}
+		fields := strings.Split(string(line), r.m.Comma)
+		if bytes.IndexByte(line, '"') >= 0 {
+			c := csv.NewReader(bytes.NewReader(line))
+			c.Comma, c.FieldsPerRecord = rune(r.m.Comma[0]), -1
+			var err error
+			if fields, err = c.Read(); err != nil {
+				return nil, r.line, fmt.Errorf("%w: %v", errBad, err)
+			}
+		}
+		return fields, r.line, nil
+	}
+}
+
+var errBad = errors.New("can't be read")
+
+// odd counts a row that is not as it should be, and tells whether the trace ends with it.
+func (r *Reader) odd(k Kind, line int, policy string) (stop bool) {
+	r.Kinds[k]++
+	if len(r.Lines[k]) < linesKept {
+		r.Lines[k] = append(r.Lines[k], line)
+	}
+	if policy == "stop" {
+		r.stopped = true
+		r.Ended = fmt.Sprintf("line %d: %s", line, k)
+	}
+	return r.stopped
+}
+
+// Next gives the next invocation.
+func (r *Reader) Next() (world.Job, bool) {
+	for !r.stopped {
+		fields, line, err := r.row()
+		switch {
+		case err == io.EOF:
+			return world.Job{}, false
+		case errors.Is(err, errLong):
+			r.Rows++
+			r.odd(Long, line, r.m.Policies.Long)
+			continue
+		case errors.Is(err, errBad):
+			r.Rows++
+			r.odd(Bad, line, r.m.Policies.Bad)
+			continue
+		case err != nil:
+			r.stopped, r.Ended = true, fmt.Sprintf("line %d: %v", line, err)
+			continue
+		}
+		r.Rows++
+		if j, ok := r.job(fields, line); ok {
+			r.Used++
+			return j, true
+		}
+	}
+	return world.Job{}, false
+}
+
+// number reads a column; what is no finite number is none.
+func (r *Reader) number(fields []string, key string) (float64, bool) {
+	v, err := strconv.ParseFloat(strings.TrimSpace(fields[r.at[key]]), 64)
+	return v, err == nil && !math.IsNaN(v) && !math.IsInf(v, 0)
+}
+
+func (r *Reader) has(key string) bool { _, has := r.at[key]; return has }
+
+func (r *Reader) job(fields []string, line int) (j world.Job, ok bool) {
+	if len(fields) <= r.widest {
+		r.odd(Bad, line, r.m.Policies.Bad)
+		return j, false
+	}
+	op := r.any
+	if r.has("operation") {
+		if at, known := r.ops[strings.TrimSpace(fields[r.at["operation"]])]; known {
+			op = at
+		}
+	}
+	if op < 0 {
+		r.odd(Unknown, line, r.m.Policies.Unknown)
+		return j, false
+	}
+	recorded, sound := r.number(fields, "time")
+	cost := r.s.Operations[op].Work.D().Seconds()
+	if r.has("work") {
+		work, is := r.number(fields, "work")
+		sound = sound && is && work >= 0
+		cost = work * r.m.Scale * units[r.m.WorkBy].Seconds()
+	} else if r.has("end") {
+		end, is := r.number(fields, "end")
+		sound = sound && is && end >= recorded
+		cost = (end - recorded) * r.m.Scale * units[r.m.Unit].Seconds()
+	}
+	slots := float64(r.s.Operations[op].Slots)
+	if r.has("slots") {
+		n, is := r.number(fields, "slots")
+		sound = sound && is && n >= 0
+		slots = min(math.Ceil(n*r.m.Slots.Scale), float64(r.m.Slots.Most))
+	}
+	if !sound || cost > 1e6 {
+		r.odd(Bad, line, r.m.Policies.Bad)
+		return j, false
+	}
+	at, ok := r.time(recorded, line)
+	if !ok {
+		return j, false
+	}
+	j = r.clients.Job(op, at, cost, r.rng)
+	j.Slots = max(1, int(slots))
+	if r.has("tenant") && len(r.tenants) > 0 {
+		j.Tenant = r.tenant(strings.TrimSpace(fields[r.at["tenant"]]))
+	}
+	j.Zone = r.rng.IntN(len(r.s.Zones))
+	return j, true
+}
+
+// tenant finds one by name; names that the scenario does not have are dealt out, the same one always to the same tenant.
+func (r *Reader) tenant(name string) int {
+	if at, known := r.tenants[name]; known {
+		return at
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return int(h.Sum32() % uint32(len(r.s.Tenants)))
+}
+
+// time is when a row is to be sent: as long after the one before as it was recorded, divided by the speed.
+func (r *Reader) time(recorded float64, line int) (time.Duration, bool) {
+	unit := float64(units[r.m.Unit])
+	if !r.begun {
+		r.begun, r.first, r.last = true, recorded, recorded
+	}
+	step := (recorded - r.last) * unit
+	if step < -float64(r.m.GapMost) { // the clock was set back: it goes on from there
+		if r.odd(Jump, line, r.m.Policies.Jump) || r.m.Policies.Jump == "skip" {
+			return 0, false
+		}
+		r.shift += step
+		r.last = recorded
+		return r.previous, true
+	}
+	if step < 0 {
+		if r.odd(Order, line, r.m.Policies.Order) || r.m.Policies.Order == "skip" {
+			return 0, false
+		}
+		return r.previous, true // clamped: sent with the one before, and the clock stays where it was
+	}
+	if step > float64(r.m.GapMost) {
+		if r.odd(Jump, line, r.m.Policies.Jump) || r.m.Policies.Jump == "skip" {
+			return 0, false
+		}
+		r.shift += step - float64(r.m.GapMost)
+	}
+	r.last = recorded
+	at := (recorded-r.first)*unit - r.shift
+	r.previous = max(r.previous, time.Duration(at/r.m.Speed))
+	return r.previous, true
+}
+
+// Generate writes a trace of so many rows, with a header, for trying things out: bursts, heavy tails, and one row in
+// so many that is not as it should be (0: none).
+func Generate(out io.Writer, rows int, seed int64, perSecond float64, oddEvery int) error {
+	w := bufio.NewWriterSize(out, 1<<16)
+	rng := rand.New(rand.NewPCG(uint64(seed), 0x67656e))
+	fmt.Fprintln(w, "time_us,collection_type,user,cpu_request,run_us")
+	at := 0.0
+	kinds := []string{"small", "small", "small", "batch", "batch", "prod"}
+	for n := range rows {
+		rate := perSecond * (0.6 + 0.8*float64(n/5000%2))
+		at += rng.ExpFloat64() / rate * 1e6
+		run := 50e3 * math.Exp(rng.NormFloat64())
+		kind := kinds[rng.IntN(len(kinds))]
+		if kind == "batch" {
+			run *= 4
+		}
+		when, what := strconv.FormatInt(int64(at), 10), strconv.FormatInt(int64(run), 10)
+		if oddEvery > 0 && n%oddEvery == oddEvery-1 {
+			switch n / oddEvery % 4 {
+			case 0:
+				what = "n/a"
+			case 1:
+				when = strconv.FormatInt(int64(at)-5e6, 10)
+			case 2:
+				kind = "gpu"
+			case 3:
+				fmt.Fprintln(w, when)
+				continue
+			}
+		}
+		fmt.Fprintf(w, "%s,%s,u%d,%.2f,%s\n", when, kind, rng.IntN(50), 0.25+rng.Float64()*1.5, what)
+	}
+	return w.Flush()
+}
