--- /dev/null
+++ b/internal/lab/load/load_test.go
@@ -0,0 +1,135 @@
+package load
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"stoatweir/internal/lab/scenario"
+	"stoatweir/internal/lab/world"
+)
+
+func day(t *testing.T, more string) scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Parse("day.toml", []byte(`
+version = 1
+length = "2s"
+[[workers]]
+count = 1
+[[operations]]
+name = "small"
+work = "5ms"
+objective = "1s"
+timeout = "3s"
+[load]
+rate = 50.0
+shape = "constant"
+`+more))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// stalling answers at once, but for a second in which it answers nobody.
+func stalling(t *testing.T) string {
+	var mu sync.Mutex
+	began := time.Time{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		mu.Lock()
+		if began.IsZero() {
+			began = time.Now()
+		}
+		wait := time.Second + 500*time.Millisecond - time.Since(began)
+		mu.Unlock()
+		if wait < time.Second {
+			time.Sleep(max(0, wait))
+		}
+	})}
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+	return l.Addr().String()
+}
+
+// The load does not wait for answers: a stall of a second shows in the latencies of all that were meant to be sent in it.
+func TestStallShows(t *testing.T) {
+	s := day(t, "")
+	r, err := Run(context.Background(), s, nil, stalling(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.All.Offered != 99 || r.All.P90 < 300 || r.All.P50 > 700 {
+		t.Errorf("%+v", r.All)
+	}
+}
+
+// A sender that waits for each answer before it sends the next, which is the usual mistake, is found out: it was late, and
+// its figures are void.
+func TestClosedLoopIsVoid(t *testing.T) {
+	s := day(t, "")
+	addr := stalling(t)
+	sender, audit, start := NewSender(s), NewAudit(), time.Now()
+	for clients := world.New(s).Clients; ; {
+		j, more := clients.Next()
+		if !more {
+			break
+		}
+		time.Sleep(time.Until(start.Add(j.At)))
+		audit.Sent(j.At, time.Since(start))
+		sender.Send(context.Background(), addr, &j, time.Second, time.Second*3)
+	}
+	l, void := audit.Verdict(s)
+	if void == "" || l.Most < 400 {
+		t.Errorf("%+v %q", l, void)
+	}
+	sound := NewAudit()
+	for n := range time.Duration(100) {
+		sound.Sent(n*time.Millisecond, n*time.Millisecond+time.Millisecond)
+	}
+	if _, void := sound.Verdict(s); void != "" {
+		t.Error(void)
+	}
+}
+
+// Nothing is sent to another machine.
+func TestLoopbackAlone(t *testing.T) {
+	for _, addr := range []string{"10.0.0.1:80", "0.0.0.0:80", "example.org:80", "[2001:db8::1]:80", ""} {
+		if _, err := Run(context.Background(), day(t, ""), nil, addr); err == nil {
+			t.Errorf("%q", addr)
+		}
+	}
+	if err := Loopback("127.0.0.9:80"); err != nil {
+		t.Error(err)
+	}
+	if err := Loopback("[::1]:80"); err != nil {
+		t.Error(err)
+	}
+}
+
+// A target that takes nothing in ends in an error of each invocation, within the bounds, and tries are made as clients do.
+func TestNobodyThere(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	s := day(t, "[clients]\nretries = 2\nbackoff = \"5ms\"\n")
+	s.Length = scenario.Span(200 * time.Millisecond)
+	r, err := Run(context.Background(), s, nil, addr)
+	if err != nil || r.All.Throttled != r.All.Offered || r.Costs.Tries != 3*r.All.Offered {
+		t.Errorf("%+v %+v %v", r.All, r.Costs, err)
+	}
+	s.Length = scenario.Span(3 * time.Hour)
+	if _, err := Run(context.Background(), s, nil, addr); err == nil || !strings.Contains(err.Error(), "length") {
+		t.Error(err)
+	}
+}
--- a/internal/lab/report/compare.go
+++ b/internal/lab/report/compare.go
@@ -96,7 +96,7 @@
 func Table(w io.Writer, a, b string, all []Difference) {
 	fmt.Fprintf(w, "a: %s\nb: %s\n", a, b)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "\ta\tb\tb - a\t95% from\tto\tpairs\t \t")
+	fmt.Fprintln(t, "\ta\tb\tb - a\t95% from\tto\tpairs\tconclusion\t")
 	for _, d := range all {
 		fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%+.4f\t%+.4f\t%+.4f\t%d\t%s\t\n", d.Name, d.A, d.B, d.Mean, d.Low, d.High, d.Pairs, d.Conclusion)
 	}
--- /dev/null
+++ b/internal/lab/report/compare_test.go
@@ -0,0 +1,59 @@
+package report
+
+import (
+	"fmt"
+	"os"
+	"testing"
+)
+
+// Differences are told where the pairs show one, and only there.
+func Example() {
+	var a, b []Report
+	for n := range 6 {
+		x := Report{Scenario: "day", Mode: "virtual", Seed: int64(n), Service: 0.5 + 0.05*float64(n), WorstSpan: 0.4, All: Line{P99: 100, Offered: 10}}
+		y := x
+		y.Service += 0.02 + 0.001*float64(n%2)           // small beside how far the days differ, and the same on all
+		y.WorstSpan += 0.03 * float64([]int{1, -1}[n%2]) // up and down
+		y.All.P99 += 5 + float64(n%3)                    // worse
+		a, b = append(a, x), append(b, y)
+	}
+	all, err := Compare(a, b)
+	Table(os.Stdout, "one", "two", all[:4])
+	fmt.Println(err)
+	b[3].Seed = 9
+	_, err = Compare(a, b)
+	fmt.Println(err)
+	b[3].Seed, b[2].Void = 3, "sent late"
+	_, err = Compare(a, b)
+	fmt.Println(err)
+	_, err = Compare(a, b[:2])
+	fmt.Println(err)
+	// Output:
+	// a: one
+	// b: two
+	//                           a         b    b - a  95% from       to  pairs           conclusion
+	//           service    0.6250    0.6455  +0.0205   +0.0199  +0.0211      6          b is better
+	//        worst 10 s    0.4000    0.4000  +0.0000   -0.0345  +0.0345      6  no difference shown
+	//   worst operation    0.0000    0.0000  +0.0000   +0.0000  +0.0000      6  no difference shown
+	//            p99 ms  100.0000  106.0000  +6.0000   +5.0614  +6.9386      6          a is better
+	// <nil>
+	// pair 3: day by seed 3 (virtual) and day by seed 9 (virtual) are not the same day
+	// pair 2 is void: sent late
+	// 6 days and 2 days make no pairs
+}
+
+func TestPlot(t *testing.T) {
+	for _, name := range []string{"x.svg", "x.png"} {
+		var n counter
+		if err := Plot(&n, name, Report{Scenario: "day", Seconds1: []float64{1, 0.5, 1}}); err != nil || n < 1000 {
+			t.Error(name, n, err)
+		}
+	}
+	if Plot(new(counter), "x.gif", Report{Seconds1: []float64{1, 1}}) == nil || Plot(new(counter), "x.svg", Report{Seconds1: []float64{1}}) == nil {
+		t.Error("no word on a plot that can't be drawn")
+	}
+}
+
+type counter int
+
+func (c *counter) Write(b []byte) (int, error) { *c += counter(len(b)); return len(b), nil }
--- /dev/null
+++ b/internal/lab/trace/trace_test.go
@@ -0,0 +1,188 @@
+package trace
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"stoatweir/internal/lab/scenario"
+	"stoatweir/internal/lab/world"
+)
+
+func day() scenario.Scenario {
+	s, err := scenario.Parse("day.toml", []byte(`
+version = 1
+length = "1h"
+[[workers]]
+count = 1
+[[operations]]
+name = "small"
+work = "50ms"
+objective = "200ms"
+[[operations]]
+name = "batch"
+work = "1s"
+objective = "5s"
+[[tenants]]
+name = "u1"
+[[tenants]]
+name = "u2"
+`))
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+const mapping = `
+version = 1
+header = true
+unit = "ms"
+work_by = "ms"
+gap_most = "10s"
+row_most = 60
+[columns]
+time = "t"
+work = "run"
+operation = "kind"
+tenant = "who"
+slots = "cpu"
+[operations]
+a = "small"
+b = "batch"
+[slots]
+scale = 4.0
+most = 8
+`
+
+func read(text, mapping string) {
+	s := day()
+	m, err := ParseMapping("map.toml", []byte(mapping), s)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	r, err := Open(strings.NewReader(text), m, s, world.New(s).Clients)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	for {
+		j, more := r.Next()
+		if !more {
+			break
+		}
+		fmt.Printf("%v %s of %s: %.3f s, %d slots\n", j.At, s.Operations[j.Op].Name, s.Tenants[j.Tenant].Name, j.Cost, j.Slots)
+	}
+	text2, _ := json.Marshal(r.Counts)
+	fmt.Println(string(text2))
+}
+
+const odd = `who,t,kind,run,cpu
+u1,1000,a,20,0.2
+u2,1500,b,900,1
+
+u1,nonsense,a,20,0.2
+u1,1600,c,20,0.2
+u1,1400,a,20,0.2
+u1,1700
+"u1","1800",a,"20",NaN
+u1,1900,a,-3,0.2
+u1,2000,a,20,100
+u1,902000,a,20,0.1
+u1,5000,a,20,0.1
+u1,5100,a,20,0.1,and,more,columns,than,there,are,names,for,it,by,far,indeed
+u2,5200,a,20,0.1
+`
+
+// Rows that are not as they should be are counted and named by their line, and become what the policy says.
+func Example() {
+	read(odd, mapping)
+	fmt.Println("-- skipped, twice as fast")
+	read(odd, strings.Replace(mapping, "row_most", "speed = 2.0\npolicies = {order = \"skip\", jump = \"skip\"}\nrow_most", 1))
+	fmt.Println("-- stopped")
+	read(odd, strings.Replace(mapping, "row_most", "policies = {order = \"stop\"}\nrow_most", 1))
+	// Output:
+	// 0s small of u1: 0.020 s, 1 slots
+	// 500ms batch of u2: 0.900 s, 4 slots
+	// 500ms small of u1: 0.020 s, 1 slots
+	// 1s small of u1: 0.020 s, 8 slots
+	// 11s small of u1: 0.020 s, 1 slots
+	// 11s small of u1: 0.020 s, 1 slots
+	// 11.2s small of u2: 0.020 s, 1 slots
+	// {"ended":"","odd":{"bad":{"first_lines":[5,8,9,10],"rows":4},"clock jump":{"first_lines":[12,13],"rows":2},"out of order":{"first_lines":[7],"rows":1},"too long":{"first_lines":[14],"rows":1},"unknown operation":{"first_lines":[6],"rows":1}},"rows":13,"used":7}
+	// -- skipped, twice as fast
+	// 0s small of u1: 0.020 s, 1 slots
+	// 250ms batch of u2: 0.900 s, 4 slots
+	// 500ms small of u1: 0.020 s, 8 slots
+	// 2s small of u1: 0.020 s, 1 slots
+	// 2.1s small of u2: 0.020 s, 1 slots
+	// {"ended":"","odd":{"bad":{"first_lines":[5,8,9,10],"rows":4},"clock jump":{"first_lines":[12],"rows":1},"out of order":{"first_lines":[7],"rows":1},"too long":{"first_lines":[14],"rows":1},"unknown operation":{"first_lines":[6],"rows":1}},"rows":13,"used":5}
+	// -- stopped
+	// 0s small of u1: 0.020 s, 1 slots
+	// 500ms batch of u2: 0.900 s, 4 slots
+	// {"ended":"line 7: out of order","odd":{"bad":{"first_lines":[5],"rows":1},"out of order":{"first_lines":[7],"rows":1},"unknown operation":{"first_lines":[6],"rows":1}},"rows":5,"used":2}
+}
+
+// Nothing is guessed: an empty trace, a column that is not there, a mapping that can't be meant so.
+func Example_refused() {
+	read("", mapping)
+	read("who,t,kind,run\n", mapping)
+	read("x\n", strings.Replace(strings.Replace(mapping, "version = 1", "version = 3", 1), `b = "batch"`, `b = "big"`, 1))
+	read("x\n", strings.Replace(mapping, "unit = \"ms\"", "unit = \"weeks\"", 1))
+	read("x\n", strings.Replace(mapping, "[slots]", "[slosts]", 1))
+	// Output:
+	// the trace is empty
+	// columns.slots: there is no column "cpu", but ["who" "t" "kind" "run"]
+	// map.toml: operations.b: "big" is no operation of the scenario
+	// map.toml: version: 3 is not the version that is read here, which is 1
+	// map.toml: unit: "weeks" is none of ns, us, ms, s
+	// map.toml:17: slosts: no such key
+}
+
+// A trace is never held: reading ten times as many rows takes no more memory.
+func TestStreams(t *testing.T) {
+	const generated = "version = 1\nheader = true\n[columns]\ntime = \"time_us\"\nwork = \"run_us\"\noperation = \"collection_type\"\n" +
+		"tenant = \"user\"\n[operations]\nsmall = \"small\"\nprod = \"small\"\nbatch = \"batch\"\n"
+	s := day()
+	m, err := ParseMapping("map.toml", []byte(generated), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const rows, oddEvery = 200_000, 100
+	in, out := io.Pipe()
+	go func() { out.CloseWithError(Generate(out, rows, 1, 1000, oddEvery)) }()
+	r, err := Open(in, m, s, world.New(s).Clients)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var most uint64
+	last := time.Duration(0)
+	for n := 0; ; n++ {
+		j, more := r.Next()
+		if !more {
+			break
+		}
+		if j.At < last {
+			t.Fatal("not in order of time")
+		}
+		if last = j.At; n%20_000 == 0 {
+			runtime.GC()
+			var mem runtime.MemStats
+			runtime.ReadMemStats(&mem)
+			most = max(most, mem.HeapAlloc)
+		}
+	}
+	// Of four kinds of odd rows in turn, those that are out of order are used all the same.
+	if want := rows - rows/oddEvery*3/4; r.Rows != rows || r.Used != want || r.Kinds[Order] != rows/oddEvery/4 || r.Kinds[Unknown] != rows/oddEvery/4 ||
+		r.Kinds[Bad] != rows/oddEvery/2 {
+		t.Errorf("%+v, %d wanted", r.Counts, want)
+	}
+	if most > 32<<20 {
+		t.Errorf("%d MB are held", most>>20)
+	}
+}
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -3,30 +3,369 @@
 import (
 	"bytes"
 	"context"
-	"os"
+	"fmt"
+	"io"
+	"strings"
 	"testing"
+	"time"
 
+	"stoatweir/dispatch"
+	"stoatweir/internal/lab/baseline"
 	"stoatweir/internal/lab/report"
 	"stoatweir/internal/lab/scenario"
+	"stoatweir/internal/lab/world"
+	"stoatweir/internal/settings"
+	"stoatweir/internal/simwire"
 )
 
-func playText(t *testing.T, s scenario.Scenario, maker Maker) (report.Report, string) {
+// small is a day of ten seconds, to which tests add what they need.
+const small = `
+version = 1
+name = "small"
+length = "10s"
+zones = ["a", "b"]
+[schedulers]
+count = 2
+[list]
+notice = "500ms"
+silent_notice = "2s"
+[load]
+of = 0.5
+[[workers]]
+count = 6
+slots = 4
+queue = 16
+[[operations]]
+name = "render"
+share = 0.8
+work = "100ms"
+cv = 0.5
+objective = "400ms"
+timeout = "3s"
+[[operations]]
+name = "payment"
+share = 0.2
+work = "50ms"
+cv = 0.5
+objective = "400ms"
+timeout = "3s"
+effect = "non-idempotent"
+`
+
+func parse(t testing.TB, text string) scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Parse("test.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func play(t testing.TB, s scenario.Scenario, maker Maker) (*Day, report.Report) {
 	t.Helper()
 	d := New(s, maker)
 	if err := d.Play(context.Background(), nil); err != nil {
 		t.Fatal(err)
 	}
-	r := report.Of(d.World).Name(s.Name, "virtual", "module", s.Seed, s.Schedulers.Count, len(d.World.Fleet.Machines), s.Length.D())
-	var b bytes.Buffer
-	r.Text(&b)
-	return r, b.String()
+	return d, report.Of(d.World).Name(s.Name, "virtual", "module", s.Seed, s.Schedulers.Count, len(d.World.Fleet.Machines), s.Length.D())
 }
 
-func TestLook(t *testing.T) {
-	s, err := scenario.Read("../../../deploy/lab/hang.toml")
-	if err != nil {
+// all is every kind of trouble, many at once.
+func all() string {
+	text := small
+	for i, kind := range []string{"silent", "hung", "slow", "failing", "restart", "replace", "reports-late", "reports-absent",
+		"list-stale", "list-overbooked", "list-dead", "refused", "reset", "answers-lost", "killed", "burst", "heavy", "storm"} {
+		text += fmt.Sprintf("[[troubles]]\nkind = %q\nat = \"%dms\"\nfor = \"3s\"\nshare = 0.2\n", kind, 500+400*i)
+	}
+	return text + "[[troubles]]\nkind = \"zone-lost\"\nzone = \"b\"\nat = \"8s\"\nfor = \"1s\"\n"
+}
+
+// The same seed gives the same report to the byte, with all troubles, and another seed another day. The module keeps the
+// rules on all of them.
+func TestSameSeedSameReport(t *testing.T) {
+	text := func(seed int64) string {
+		s := parse(t, all())
+		s.Seed = seed
+		_, r := play(t, s, Module)
+		var b bytes.Buffer
+		if err := r.JSON(&b); err != nil {
+			t.Fatal(err)
+		}
+		if r.Broken() > 0 {
+			var why bytes.Buffer
+			r.Text(&why)
+			t.Error(why.String())
+		}
+		if a := r.All; a.InTime+a.Late+a.Throttled+a.Errored+a.Missed != a.Offered || a.Offered == 0 {
+			t.Errorf("what came in and how it ended do not agree: %+v", a)
+		}
+		return b.String()
+	}
+	first := text(1)
+	if again := text(1); again != first {
+		t.Error("the same day twice, and two reports")
+	}
+	if other := text(2); other == first {
+		t.Error("another seed, and the same day")
+	}
+}
+
+// Two deciders meet the same arrivals, whatever they do.
+func TestDecidersMeetTheSameDay(t *testing.T) {
+	s := parse(t, all())
+	_, a := play(t, s, Module)
+	_, b := play(t, s, policy("random"))
+	if a.All.Offered != b.All.Offered || a.Operations[1].Offered != b.Operations[1].Offered || a.Zones[0].Offered != b.Zones[0].Offered {
+		t.Errorf("%+v\n%+v", a.All, b.All)
+	}
+	if a.Service <= b.Service {
+		t.Errorf("the module serves %v, random choice %v", a.Service, b.Service)
+	}
+}
+
+func policy(name string) Maker {
+	return func(_ int, seed int64, text []byte) (Decider, error) {
+		site, err := settings.ParseSite(text)
+		if err != nil {
+			return nil, err
+		}
+		return baseline.New(name, site.Deployment, uint64(seed))
+	}
+}
+
+// With no worker at all everything is answered, and nothing is served.
+func TestNoWorkers(t *testing.T) {
+	s := parse(t, strings.Replace(strings.Replace(small, "count = 6", "count = 0", 1), "of = 0.5", "rate = 20", 1))
+	_, r := play(t, s, Module)
+	if r.Broken() > 0 || r.Service != 0 || r.All.Throttled+r.All.Errored != r.All.Offered || r.All.Offered < 100 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// A trouble that begins and ends inside another of its kind lifts nothing of that one.
+func TestTroubleInsideAnother(t *testing.T) {
+	s := parse(t, small+`
+[[troubles]]
+kind = "hung"
+at = "2s"
+for = "6s"
+share = 1.0
+[[troubles]]
+kind = "hung"
+at = "3s"
+for = "1s"
+share = 1.0
+`)
+	d := New(s, Module)
+	done := map[time.Duration]int{}
+	tell := d.World.Fleet.Tell
+	d.World.Fleet.Tell = func(now time.Duration, a *world.Attempt, sign world.Sign, share float64) {
+		if sign == world.Done {
+			done[now.Truncate(time.Second)]++
+		}
+		tell(now, a, sign, share)
+	}
+	if err := d.Play(context.Background(), nil); err != nil {
 		t.Fatal(err)
 	}
-	_, text := playText(t, s, Module)
-	os.Stdout.WriteString(text)
+	if done[time.Second] == 0 || done[3*time.Second]+done[4*time.Second]+done[5*time.Second]+done[7*time.Second] > 0 || done[9*time.Second] == 0 {
+		t.Error("ends by second:", done)
+	}
+}
+
+// spoiler lets the module decide and breaks one rule on purpose.
+type spoiler struct {
+	Decider
+	spoil func(now time.Duration, actions []dispatch.Action) []dispatch.Action
+}
+
+func (s spoiler) Handle(now time.Duration, events []dispatch.Event) []dispatch.Action {
+	return s.spoil(now, s.Decider.Handle(now, events))
+}
+
+func spoilt(make func() func(now time.Duration, actions []dispatch.Action) []dispatch.Action) Maker {
+	return func(n int, seed int64, text []byte) (Decider, error) {
+		d, err := Module(n, seed, text)
+		return spoiler{d, make()}, err
+	}
+}
+
+// Each rule's judge catches a scheduler that breaks that rule, with what led there, and finds nothing where it does not.
+func TestJudgeCatches(t *testing.T) {
+	drain := "[[troubles]]\nkind = \"replace\"\nat = \"2s\"\nfor = \"2s\"\nshare = 1.0\nbatch = 1.0\ndelay = \"6s\"\n"
+	for _, v := range []struct {
+		name, rule, text string
+		maker            Maker
+	}{
+		{"twice answered", "one answer", small, spoilt(func() func(time.Duration, []dispatch.Action) []dispatch.Action {
+			return func(_ time.Duration, actions []dispatch.Action) []dispatch.Action {
+				for _, a := range actions {
+					if f, is := a.(dispatch.Forward); is && f.Inv%7 == 0 {
+						return append(actions, dispatch.Errored{Inv: f.Inv}, dispatch.Errored{Inv: f.Inv})
+					}
+				}
+				return actions
+			}
+		})},
+		{"never answered", "one answer", small + "[[troubles]]\nkind = \"hung\"\nat = \"1s\"\nfor = \"9s\"\nshare = 1.0\n",
+			spoilt(func() func(time.Duration, []dispatch.Action) []dispatch.Action {
+				return func(_ time.Duration, actions []dispatch.Action) (kept []dispatch.Action) {
+					for _, a := range actions {
+						switch a.(type) {
+						case dispatch.Throttled, dispatch.Errored:
+						default:
+							kept = append(kept, a)
+						}
+					}
+					return kept
+				}
+			})},
+		{"sent twice", "one effect", small, spoilt(func() func(time.Duration, []dispatch.Action) []dispatch.Action {
+			return func(_ time.Duration, actions []dispatch.Action) []dispatch.Action {
+				all := append([]dispatch.Action{}, actions...)
+				for _, a := range actions {
+					if f, is := a.(dispatch.Forward); is {
+						all = append(all, f, f)
+					}
+				}
+				return all
+			}
+		})},
+		{"sent to the drained", "drains", small + drain, spoilt(func() func(time.Duration, []dispatch.Action) []dispatch.Action {
+			// Whatever is sent goes to the first worker that this scheduler ever used.
+			var first *dispatch.WorkerID
+			return func(_ time.Duration, actions []dispatch.Action) []dispatch.Action {
+				for i, a := range actions {
+					if f, is := a.(dispatch.Forward); is {
+						if first == nil {
+							first = &f.Worker
+						}
+						actions[i] = dispatch.Forward{Inv: f.Inv, Worker: *first}
+					}
+				}
+				return actions
+			}
+		})},
+		{"cold workers pushed", "cold", strings.Replace(strings.Replace(small, "queue = 16", "queue = 1000\ncold = true\nwarm = \"60s\"\ncold_from = 0.1", 1),
+			"of = 0.5", "of = 1.5", 1), spoilt(func() func(time.Duration, []dispatch.Action) []dispatch.Action {
+			var first *dispatch.WorkerID
+			return func(_ time.Duration, actions []dispatch.Action) []dispatch.Action {
+				for i, a := range actions {
+					if f, is := a.(dispatch.Forward); is {
+						if first == nil {
+							first = &f.Worker
+						}
+						actions[i] = dispatch.Forward{Inv: f.Inv, Worker: *first}
+					}
+				}
+				return actions
+			}
+		})},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			for seed := range int64(2) {
+				s := parse(t, v.text)
+				s.Seed = seed + 1
+				_, sound := play(t, s, Module)
+				_, broken := play(t, s, v.maker)
+				if sound.Broken() > 0 {
+					t.Errorf("seed %d: the module is blamed: %+v", seed, sound.Breaks)
+				}
+				if broken.Rules[v.rule] == 0 {
+					t.Errorf("seed %d: not caught: %v", seed, broken.Rules)
+					continue
+				}
+				for _, b := range broken.Breaks {
+					if b.Rule == v.rule && b.Text == "" {
+						t.Errorf("seed %d: no word of what happened: %+v", seed, b)
+					}
+				}
+			}
+		})
+	}
+}
+
+// A program on the simulator's wire decides as it does in this process.
+func TestOverTheWire(t *testing.T) {
+	s := parse(t, small+"[[troubles]]\nkind = \"slow\"\nat = \"2s\"\nfor = \"4s\"\nshare = 0.4\n[[troubles]]\nkind = \"killed\"\nat = \"5s\"\nshare = 0.5\n")
+	in, toProgram := io.Pipe()
+	fromProgram, out := io.Pipe()
+	go serveWire(in, out)
+	p := &Program{in: toProgram, host: simwire.NewHost(toProgram, fromProgram)}
+	var d *Day
+	d = New(s, p.Maker(func() time.Duration { return d.Time() }))
+	if err := d.Play(context.Background(), nil); err != nil || p.Err() != nil {
+		t.Fatal(err, p.Err())
+	}
+	toProgram.Close()
+	over := report.Of(d.World)
+	_, here := play(t, s, policy("least"))
+	if over.Broken() > 0 || over.All.Offered != here.All.Offered || over.Costs.Forwards < over.All.Offered/2 ||
+		over.Service < here.Service-0.02 || over.Service > here.Service+0.02 {
+		t.Errorf("over the wire %+v %+v\nin this process %+v %+v", over.All, over.Costs, here.All, here.Costs)
+	}
+}
+
+// serveWire is a program in the shape of cmd/baseline.
+func serveWire(in io.Reader, out io.Writer) {
+	type instance struct {
+		dialect simwire.Dialect
+		policy  *baseline.Policy
+	}
+	instances := map[uint32]*instance{}
+	for {
+		batch, err := simwire.ReadBatch(in)
+		if err != nil {
+			return
+		}
+		events, order := map[uint32][]dispatch.Event{}, []uint32{}
+		for records := simwire.Open(batch); ; {
+			id, event, more, err := records.Next(func(n uint32) (d simwire.Dialect) {
+				if i := instances[n]; i != nil {
+					d = i.dialect
+				}
+				return d
+			})
+			if err != nil {
+				panic(err)
+			}
+			if !more {
+				break
+			}
+			switch e := event.(type) {
+			case simwire.Up:
+				p, err := baseline.New("least", e.Deployment, e.Seed)
+				if err != nil {
+					panic(err)
+				}
+				instances[id] = &instance{e.Dialect, p}
+			case simwire.PowerOff:
+			default:
+				if len(events[id]) == 0 {
+					order = append(order, id)
+				}
+				events[id] = append(events[id], e.(dispatch.Event))
+			}
+		}
+		var reply simwire.Reply
+		for _, id := range order {
+			i := instances[id]
+			for _, a := range i.policy.Handle(i.dialect.Base.Since(batch.Clock), events[id]) {
+				reply.Action(id, i.dialect.Base, a)
+			}
+		}
+		out.Write(reply.Bytes())
+	}
+}
+
+// Events do not grow with what is idle: three times the schedulers under the same load cost less than twice as much.
+func TestIdleSchedulersCostLittle(t *testing.T) {
+	steps := func(count int) int {
+		s := parse(t, strings.Replace(strings.Replace(small, "count = 2", fmt.Sprint("count = ", count), 1), "of = 0.5", "rate = 100", 1))
+		d, _ := play(t, s, policy("two"))
+		return d.Steps
+	}
+	if few, many := steps(4), steps(12); many > 2*few {
+		t.Errorf("%d and %d", few, many)
+	}
 }
