--- a/cmd/stoatweir/lab.go
+++ b/cmd/stoatweir/lab.go
@@ -149,6 +149,7 @@
 		return r, err
 	}
 	r = report.Of(d.World).Name(s.Name, "virtual", decider, s.Seed, s.Schedulers.Count, len(d.World.Fleet.Machines), s.Length.D())
+	r.Costs.Events = d.Steps
 	return withTrace(r, reader), nil
 }
 
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -66,7 +66,8 @@
 	Probes      int     `json:"probes"`
 	Connections int     `json:"connections"`
 	ListCalls   int     `json:"list_calls"`
-	ColdUse     float64 `json:"cold_use"` // the most that a cold worker was sent, of what it can bear
+	Events      int     `json:"events,omitempty"` // that a day in virtual time took
+	ColdUse     float64 `json:"cold_use"`         // the most that a cold worker was sent, of what it can bear
 }
 
 // Lateness tells how well a load that is sent in real time kept to its times.
@@ -165,6 +166,9 @@
 	c := r.Costs
 	fmt.Fprintf(w, "\n%d tries, %d forwards, %d duplicate runs, %.4f of the work wasted, %d probes, %d connections, %d list calls; cold workers up to %.2f of what they bear\n",
 		c.Tries, c.Forwards, c.Duplicates, c.Wasted, c.Probes, c.Connections, c.ListCalls, c.ColdUse)
+	if c.Events > 0 {
+		fmt.Fprintf(w, "%d events\n", c.Events)
+	}
 	if l := r.Lateness; l != nil {
 		fmt.Fprintf(w, "the load was sent late by %.2f ms in the middle, %.2f ms at p99, %.2f ms at most\n", l.P50, l.P99, l.Most)
 	}
--- a/internal/lab/scenario/read_test.go
+++ b/internal/lab/scenario/read_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 )
 
@@ -73,7 +74,7 @@
 		t.Fatal(files, err)
 	}
 	for _, file := range files {
-		if text, _ := os.ReadFile(file); len(text) == 0 || filepath.Base(file) == "mapping.toml" {
+		if text, _ := os.ReadFile(file); len(text) == 0 || strings.HasSuffix(file, "-mapping.toml") {
 			continue
 		}
 		if _, err := Read(file); err != nil {
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -17,12 +17,11 @@
 	"stoatweir/internal/lab/scenario"
 	"stoatweir/internal/lab/world"
 	"stoatweir/internal/settings"
+	"stoatweir/internal/simwire"
 )
 
 // Decider is one scheduler's decisions. *dispatch.Dispatcher is one.
-type Decider interface {
-	Handle(now time.Duration, events []dispatch.Event) []dispatch.Action
-}
+type Decider = simwire.Decider
 
 // Maker makes the decider of one scheduler, which is told what the settings say.
 type Maker func(scheduler int, seed int64, text []byte) (Decider, error)
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -290,7 +290,7 @@
 	s := parse(t, small+"[[troubles]]\nkind = \"slow\"\nat = \"2s\"\nfor = \"4s\"\nshare = 0.4\n[[troubles]]\nkind = \"killed\"\nat = \"5s\"\nshare = 0.5\n")
 	in, toProgram := io.Pipe()
 	fromProgram, out := io.Pipe()
-	go serveWire(in, out)
+	go simwire.Serve(in, out, func(up simwire.Up) (simwire.Decider, error) { return baseline.New("least", up.Deployment, up.Seed) })
 	p := &Program{in: toProgram, host: simwire.NewHost(toProgram, fromProgram)}
 	var d *Day
 	d = New(s, p.Maker(func() time.Duration { return d.Time() }))
@@ -306,58 +306,6 @@
 	}
 }
 
-// serveWire is a program in the shape of cmd/baseline.
-func serveWire(in io.Reader, out io.Writer) {
-	type instance struct {
-		dialect simwire.Dialect
-		policy  *baseline.Policy
-	}
-	instances := map[uint32]*instance{}
-	for {
-		batch, err := simwire.ReadBatch(in)
-		if err != nil {
-			return
-		}
-		events, order := map[uint32][]dispatch.Event{}, []uint32{}
-		for records := simwire.Open(batch); ; {
-			id, event, more, err := records.Next(func(n uint32) (d simwire.Dialect) {
-				if i := instances[n]; i != nil {
-					d = i.dialect
-				}
-				return d
-			})
-			if err != nil {
-				panic(err)
-			}
-			if !more {
-				break
-			}
-			switch e := event.(type) {
-			case simwire.Up:
-				p, err := baseline.New("least", e.Deployment, e.Seed)
-				if err != nil {
-					panic(err)
-				}
-				instances[id] = &instance{e.Dialect, p}
-			case simwire.PowerOff:
-			default:
-				if len(events[id]) == 0 {
-					order = append(order, id)
-				}
-				events[id] = append(events[id], e.(dispatch.Event))
-			}
-		}
-		var reply simwire.Reply
-		for _, id := range order {
-			i := instances[id]
-			for _, a := range i.policy.Handle(i.dialect.Base.Since(batch.Clock), events[id]) {
-				reply.Action(id, i.dialect.Base, a)
-			}
-		}
-		out.Write(reply.Bytes())
-	}
-}
-
 // Events do not grow with what is idle: three times the schedulers under the same load cost less than twice as much.
 func TestIdleSchedulersCostLittle(t *testing.T) {
 	steps := func(count int) int {
