--- a/dispatch/trace_test.go
+++ b/dispatch/trace_test.go
@@ -252,7 +252,8 @@
 	// 10ms 1 to b
 	// 3.83s worker b is set aside: silent
 	// 4.51s worker b is back, on trial
-	// 5.02s 3 to a
+	// 5.02s 3 to b
+	// 5.02s 4 to a
 }
 
 // Probes that go unanswered from a worker without another sign of life.
@@ -700,3 +701,23 @@
 	// 10ms 2 to a
 	// 2.02s 1 to b
 }
+
+// What is lost at a worker holds no slot there any more: its report says that two of three are free, and two are sent.
+func Example_lostAnswerFreesItsSlot() {
+	dep := shop()
+	dep.TellsStart, dep.Progress, dep.Allowed.MaxOut = true, time.Second, 1
+	p := start(dep, ready('a', 0))
+	p.at(10*ms, free('a', 3), job(1, 2, 2), job(2, 0, 2))
+	p.at(20*ms, Sign{Inv: 1, Worker: id('a'), Started: true}, Sign{Inv: 2, Worker: id('a'), Started: true})
+	p.at(1020*ms, Sign{Inv: 2, Worker: id('a'), Done: 0.4})
+	p.until(2000 * ms)
+	p.at(2020*ms, Sign{Inv: 2, Worker: id('a'), Done: 0.8})
+	p.until(2100 * ms)
+	p.at(2110*ms, free('a', 2), job(3, 0, 2), job(4, 0, 2))
+	p.at(2120*ms, free('a', 2))
+	// Output:
+	// 10ms 1 to a
+	// 10ms 2 to a
+	// 2.11s 3 to a
+	// 2.11s 4 to a
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -560,10 +560,11 @@
 	return p.worker
 }
 
-// held is what of ours the worker had at a time.
+// held is what of ours the worker had at a time. What is lost there holds nothing: were it to run on, reports would
+// say so.
 func (w *worker) held(at time.Duration) (n need) {
 	for i := range w.errands {
-		if e := &w.errands[i]; e.sent <= at && (e.end == 0 || at < e.end) && e.sent >= w.startedAt {
+		if e := &w.errands[i]; !e.lost && e.sent <= at && (e.end == 0 || at < e.end) && e.sent >= w.startedAt {
 			n = n.plus(1, e.need)
 		}
 	}
