--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -851,7 +851,9 @@
 }
 
 func (k *desk) fits(j *inv, at int, c *card) bool {
-	return (!c.known || c.room.memory >= j.memory) && k.refused[[3]int{at, j.op, j.tenant}][0] <= k.now &&
+	// Most deployments refuse nobody, and this is asked for each invocation held and worker pooled.
+	spared := len(k.refused) > 0 && k.refused[[3]int{at, j.op, j.tenant}][0] > k.now
+	return (!c.known || c.room.memory >= j.memory) && !spared &&
 		!(c.trial && (c.mine > 0 || k.ops[j.op].effect == NonIdempotent)) &&
 		!slices.ContainsFunc(j.tries, func(t tried) bool { return t.at == at && (t.out || t.ran) }) &&
 		(c.warmth == 1 || k.warms(j, c))
