--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -6,13 +6,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"os"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"stoatweir/internal/lab/agenda"
 	"stoatweir/internal/lab/load"
 	"stoatweir/internal/lab/report"
 	"stoatweir/internal/lab/scenario"
@@ -42,7 +41,7 @@
 	cancel  context.CancelFunc
 
 	todo     chan func(now time.Duration)
-	plans    []planned
+	plans    agenda.Agenda[func(now time.Duration)]
 	open     int // invocations that have not ended
 	drained  bool
 	last     time.Duration
@@ -53,11 +52,6 @@
 	failures []error
 }
 
-type planned struct {
-	at time.Duration
-	do func(now time.Duration)
-}
-
 // handed is a try that a scheduler has, and what has reached workers of it.
 type handed struct {
 	job       *world.Job
@@ -175,15 +169,7 @@
 	}
 }
 
-func (d *Day) at(when time.Duration, do func(now time.Duration)) {
-	at, _ := slices.BinarySearchFunc(d.plans, when, func(p planned, t time.Duration) int {
-		if p.at <= t {
-			return -1
-		}
-		return 1
-	})
-	d.plans = slices.Insert(d.plans, at, planned{when, do})
-}
+func (d *Day) at(when time.Duration, do func(now time.Duration)) { d.plans.Put(when, do) }
 
 // play is the loop.
 func (d *Day) play() error {
@@ -193,19 +179,14 @@
 	for {
 		now := d.now()
 		d.world.Now(now)
-		for len(d.plans) > 0 && d.plans[0].at <= now {
-			do := d.plans[0].do
-			d.plans = d.plans[1:]
-			do(now)
+		for d.plans.Due(now) {
+			d.plans.Pop()(now)
 		}
 		if d.drained && d.open == 0 || now > max(d.last, d.s.Length.D())+5*time.Second {
 			d.world.Judge.Close(now + time.Hour)
 			return nil
 		}
-		next := min(d.world.Next(), now+100*time.Millisecond)
-		if len(d.plans) > 0 {
-			next = min(next, d.plans[0].at)
-		}
+		next := min(d.world.Next(), d.plans.Next(world.Never), now+100*time.Millisecond)
 		timer.Reset(max(0, next-d.now()))
 		select {
 		case do := <-d.todo:
@@ -235,21 +216,11 @@
 
 // front deals tries out among the schedulers of a zone that are not known to be gone.
 func (d *Day) front(now time.Duration, j *world.Job) *node {
-	h := fnv.New64a()
-	fmt.Fprint(h, d.s.Seed, j.ID)
-	at := int(h.Sum64() % uint64(len(d.nodes)))
-	var other *node
-	for n := range d.nodes {
-		x := d.nodes[(at+n)%len(d.nodes)]
-		switch {
-		case !x.up && now >= x.noticed:
-		case d.s.Zone(x.number) == j.Zone:
-			return x
-		case other == nil:
-			other = x
-		}
+	n := d.world.Clients.Front(j, func(n int) bool { return !d.nodes[n].up && now >= d.nodes[n].noticed })
+	if n < 0 {
+		return nil
 	}
-	return other
+	return d.nodes[n]
 }
 
 // handIn sends a try in a goroutine of its own: nothing that it waits for may hold up the next one.
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -3,7 +3,6 @@
 package virtual
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"hash/fnv"
@@ -14,6 +13,7 @@
 	"time"
 
 	"stoatweir/dispatch"
+	"stoatweir/internal/lab/agenda"
 	"stoatweir/internal/lab/scenario"
 	"stoatweir/internal/lab/world"
 	"stoatweir/internal/settings"
@@ -53,8 +53,7 @@
 	source     world.Source
 	maker      Maker
 	schedulers []*scheduler
-	queue      queue
-	rank       int
+	queue      agenda.Agenda[func()]
 	now        time.Duration
 	dirty      []*scheduler
 	net        *rand.Rand
@@ -93,27 +92,6 @@
 	reached bool
 }
 
-type item struct {
-	at   time.Duration
-	rank int
-	do   func()
-}
-
-type queue []item
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].rank < q[j].rank
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(item)) }
-func (q *queue) Pop() any {
-	last := (*q)[len(*q)-1]
-	(*q)[len(*q)-1].do = nil
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // New makes a day.
 func New(s scenario.Scenario, maker Maker) *Day {
 	d := &Day{World: world.New(s), s: s, maker: maker,
@@ -141,17 +119,14 @@
 	d.decide() // a list that is there at the start is only what was cached
 	d.arrive()
 	for d.err == nil && ctx.Err() == nil {
-		at := d.World.Next()
-		if len(d.queue) > 0 {
-			at = min(at, d.queue[0].at)
-		}
+		at := min(d.World.Next(), d.queue.Next(world.Never))
 		if at == world.Never || at > max(d.s.Length.D(), d.last)+tail {
 			break
 		}
 		d.now = max(d.now, at)
 		d.World.Now(d.now)
-		for len(d.queue) > 0 && d.queue[0].at <= d.now {
-			heap.Pop(&d.queue).(item).do()
+		for d.queue.Due(d.now) {
+			d.queue.Pop()()
 			d.Steps++
 		}
 		d.decide()
@@ -163,10 +138,7 @@
 	return d.err
 }
 
-func (d *Day) at(when time.Duration, do func()) {
-	d.rank++
-	heap.Push(&d.queue, item{max(when, d.now), d.rank, do})
-}
+func (d *Day) at(when time.Duration, do func()) { d.queue.Put(max(when, d.now), do) }
 
 func (d *Day) after(wait time.Duration, do func()) { d.at(d.now+wait, do) }
 
@@ -338,21 +310,11 @@
 
 // front deals tries out among the schedulers of a zone. It goes on dealing to one that has died until that is noticed.
 func (d *Day) front(j *world.Job) *scheduler {
-	h := fnv.New64a()
-	fmt.Fprint(h, d.s.Seed, j.ID)
-	at := int(h.Sum64() % uint64(len(d.schedulers)))
-	var other *scheduler
-	for n := range d.schedulers {
-		s := d.schedulers[(at+n)%len(d.schedulers)]
-		switch {
-		case !s.up && d.now >= s.noticed:
-		case s.zone == j.Zone:
-			return s
-		case other == nil:
-			other = s
-		}
+	n := d.World.Clients.Front(j, func(n int) bool { return !d.schedulers[n].up && d.now >= d.schedulers[n].noticed })
+	if n < 0 {
+		return nil
 	}
-	return other
+	return d.schedulers[n]
 }
 
 // overdue: the client stops waiting; what is out is given up.
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -190,6 +190,22 @@
 	}
 }
 
+// sticky sends everything to the first worker that its scheduler ever used.
+func sticky() func(time.Duration, []dispatch.Action) []dispatch.Action {
+	var first *dispatch.WorkerID
+	return func(_ time.Duration, actions []dispatch.Action) []dispatch.Action {
+		for i, a := range actions {
+			if f, is := a.(dispatch.Forward); is {
+				if first == nil {
+					first = &f.Worker
+				}
+				actions[i] = dispatch.Forward{Inv: f.Inv, Worker: *first}
+			}
+		}
+		return actions
+	}
+}
+
 // Each rule's judge catches a scheduler that breaks that rule, with what led there, and finds nothing where it does not.
 func TestJudgeCatches(t *testing.T) {
 	drain := "[[troubles]]\nkind = \"replace\"\nat = \"2s\"\nfor = \"2s\"\nshare = 1.0\nbatch = 1.0\ndelay = \"6s\"\n"
@@ -231,36 +247,9 @@
 				return all
 			}
 		})},
-		{"sent to the drained", "drains", small + drain, spoilt(func() func(time.Duration, []dispatch.Action) []dispatch.Action {
-			// Whatever is sent goes to the first worker that this scheduler ever used.
-			var first *dispatch.WorkerID
-			return func(_ time.Duration, actions []dispatch.Action) []dispatch.Action {
-				for i, a := range actions {
-					if f, is := a.(dispatch.Forward); is {
-						if first == nil {
-							first = &f.Worker
-						}
-						actions[i] = dispatch.Forward{Inv: f.Inv, Worker: *first}
-					}
-				}
-				return actions
-			}
-		})},
+		{"sent to the drained", "drains", small + drain, spoilt(sticky)},
 		{"cold workers pushed", "cold", strings.Replace(strings.Replace(small, "queue = 16", "queue = 1000\ncold = true\nwarm = \"60s\"\ncold_from = 0.1", 1),
-			"of = 0.5", "of = 1.5", 1), spoilt(func() func(time.Duration, []dispatch.Action) []dispatch.Action {
-			var first *dispatch.WorkerID
-			return func(_ time.Duration, actions []dispatch.Action) []dispatch.Action {
-				for i, a := range actions {
-					if f, is := a.(dispatch.Forward); is {
-						if first == nil {
-							first = &f.Worker
-						}
-						actions[i] = dispatch.Forward{Inv: f.Inv, Worker: *first}
-					}
-				}
-				return actions
-			}
-		})},
+			"of = 0.5", "of = 1.5", 1), spoilt(sticky)},
 	} {
 		t.Run(v.name, func(t *testing.T) {
 			for seed := range int64(2) {
--- a/internal/lab/world/clients.go
+++ b/internal/lab/world/clients.go
@@ -1,6 +1,8 @@
 package world
 
 import (
+	"fmt"
+	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -184,6 +186,25 @@
 	return j
 }
 
+// Front deals a try out among the schedulers of its zone, or of another where all of these are known to be gone; -1: all are.
+func (c *Clients) Front(j *Job, gone func(scheduler int) bool) int {
+	h := fnv.New64a()
+	fmt.Fprint(h, c.s.Seed, j.ID)
+	all, other := c.s.Schedulers.Count, -1
+	at := int(h.Sum64() % uint64(all))
+	for n := range all {
+		x := (at + n) % all
+		switch {
+		case gone(x):
+		case c.s.Zone(x) == j.Zone:
+			return x
+		case other < 0:
+			other = x
+		}
+	}
+	return other
+}
+
 // lognormal has the mean and the coefficient of variation given.
 func lognormal(rng *rand.Rand, mean, cv float64) float64 {
 	n := rng.NormFloat64() // drawn also where it is not needed, so that other draws stay where they are
--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -1,12 +1,12 @@
 package world
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"stoatweir/internal/lab/agenda"
 	"stoatweir/internal/lab/scenario"
 )
 
@@ -119,8 +119,7 @@
 	tally    *Tally
 	judge    *Judge
 	changed  func(now time.Duration, machine int, silently bool) // in standing or start
-	due      dues
-	rank     int
+	due      agenda.Agenda[due]
 	chance   *rand.Rand
 	late     time.Duration // reports are so late
 	absent   int           // troubles by which there are none
@@ -130,24 +129,7 @@
 }
 
 // due is when something happens at a machine by itself; only the last one that was planned counts.
-type due struct {
-	at                     time.Duration
-	rank, machine, version int
-}
-
-type dues []due
-
-func (d dues) Len() int { return len(d) }
-func (d dues) Less(i, j int) bool {
-	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].rank < d[j].rank
-}
-func (d dues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d *dues) Push(x any)   { *d = append(*d, x.(due)) }
-func (d *dues) Pop() any {
-	last := (*d)[len(*d)-1]
-	*d = (*d)[:len(*d)-1]
-	return last
-}
+type due struct{ machine, version int }
 
 // knot is how long a cold machine's rate holds.
 const knot = 250 * time.Millisecond
@@ -236,23 +218,28 @@
 		}
 	}
 	if at < Never {
-		f.rank++
-		heap.Push(&f.due, due{max(at, now), f.rank, m.index, m.version})
+		f.due.Put(max(at, now), due{m.index, m.version})
 	}
 }
 
 func (f *Fleet) next() time.Duration {
-	for len(f.due) > 0 {
-		if d := f.due[0]; f.Machines[d.machine].version == d.version {
-			return d.at
+	for {
+		at, d, more := f.due.First()
+		if !more {
+			return Never
+		}
+		if f.Machines[d.machine].version == d.version {
+			return at
 		}
-		heap.Pop(&f.due)
+		f.due.Pop()
 	}
-	return Never
 }
 
 // step lets the next thing happen.
-func (f *Fleet) step(now time.Duration) { f.turn(f.Machines[f.due[0].machine], now) }
+func (f *Fleet) step(now time.Duration) {
+	_, d, _ := f.due.First()
+	f.turn(f.Machines[d.machine], now)
+}
 
 // leastLeft is the work below which an attempt is done, as sums of parts are a little off.
 const leastLeft = 1e-8
--- a/internal/lab/world/list.go
+++ b/internal/lab/world/list.go
@@ -1,9 +1,9 @@
 package world
 
 import (
-	"container/heap"
 	"time"
 
+	"stoatweir/internal/lab/agenda"
 	"stoatweir/internal/lab/scenario"
 )
 
@@ -26,8 +26,7 @@
 	log     []Entry // by version: the entry that it brought
 	entries []Entry // by machine, as they stand
 	listed  []bool
-	coming  arrivals
-	rank    int
+	coming  agenda.Agenda[Entry] // changes on their way
 	late    time.Duration
 	slower  float64
 	dead    int
@@ -35,27 +34,6 @@
 	judge   *Judge
 }
 
-// coming is a change on its way to the list.
-type coming struct {
-	at   time.Duration
-	rank int
-	Entry
-}
-
-type arrivals []coming
-
-func (a arrivals) Len() int { return len(a) }
-func (a arrivals) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].rank < a[j].rank
-}
-func (a arrivals) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *arrivals) Push(x any)   { *a = append(*a, x.(coming)) }
-func (a *arrivals) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 func newList(s scenario.Scenario, f *Fleet) *List {
 	l := &List{s: s, fleet: f, slower: 1, judge: f.judge, Changed: func(time.Duration, int) {}, Died: func(time.Duration) {}}
 	for _, m := range f.Machines {
@@ -83,29 +61,23 @@
 	if silently {
 		after = l.s.List.SilentNotice.D()
 	}
-	l.rank++
-	heap.Push(&l.coming, coming{now + after + l.late, l.rank, e})
+	l.coming.Put(now+after+l.late, e)
 }
 
-func (l *List) next() time.Duration {
-	if len(l.coming) == 0 {
-		return Never
-	}
-	return l.coming[0].at
-}
+func (l *List) next() time.Duration { return l.coming.Next(Never) }
 
 func (l *List) step(now time.Duration) {
-	c := heap.Pop(&l.coming).(coming)
+	c := l.coming.Pop()
 	// What has changed again meanwhile is on its way too, but a machine that was back before anybody noticed has never
 	// been away.
 	if m := l.fleet.Machines[c.Machine]; c.Standing == Gone && m.Standing != Gone && !m.down && m.silent == 0 {
 		return
 	}
-	if c.Machine < len(l.entries) && l.listed[c.Machine] && l.entries[c.Machine] == c.Entry {
+	if c.Machine < len(l.entries) && l.listed[c.Machine] && l.entries[c.Machine] == c {
 		return
 	}
-	l.enter(c.Entry)
-	l.judge.turned(now, c.Entry)
+	l.enter(c)
+	l.judge.turned(now, c)
 	if l.dead == 0 {
 		l.Changed(now, len(l.log))
 	}
