--- a/cmd/stoatweir/lab.go
+++ b/cmd/stoatweir/lab.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"runtime"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -125,11 +128,12 @@
 	maker := virtual.Module
 	var d *virtual.Day
 	if decider != "module" {
-		prog, err := virtual.Run(decider)
-		if err != nil {
-			return r, err
+		prog, fault := virtual.Run(decider)
+		if fault != nil {
+			return r, fault
 		}
-		defer func() { err = errors.Join(prog.Err(), prog.Close(), err) }()
+		// One that has ended in the midst has decided nothing since: its figures are none.
+		defer func() { err = errors.Join(err, prog.Err(), prog.Close()) }()
 		maker = prog.Maker(func() time.Duration { return d.Time() })
 	}
 	d = virtual.New(s, maker)
@@ -213,46 +217,57 @@
 
 func compareCommand() *cobra.Command {
 	var p played
-	var a, b, asJSON, plot string
+	var a, b, against, asJSON, plot string
 	var seeds int
-	c := &cobra.Command{Use: "compare SCENARIO...", Short: "Play the same days with two deciders and tell the difference", Args: cobra.MinimumNArgs(1),
+	c := &cobra.Command{Use: "compare SCENARIO...", Short: "Play the same days with two deciders or settings and tell the difference", Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, files []string) error {
-			p.mode = "virtual"
-			var days []scenario.Scenario
+			if p.mode = "virtual"; seeds < 1 {
+				return fmt.Errorf("--seeds: %d is not over 0", seeds)
+			}
+			if against == "" && b == "" || against != "" && len(files) > 1 {
+				return errors.New("--b, or --against with one scenario, is needed")
+			}
+			var days, others []scenario.Scenario
 			for _, file := range files {
 				s, err := scenario.Read(file)
 				if err != nil {
 					return err
 				}
+				other := s
+				if against != "" {
+					if other, err = scenario.Read(against); err != nil {
+						return err
+					}
+					other.Name = s.Name
+				}
 				for n := range int64(seeds) {
-					s.Seed = 1 + n
-					days = append(days, s)
+					s.Seed, other.Seed = 1+n, 1+n
+					days, others = append(days, s), append(others, other)
 				}
 			}
-			as, bs, err := p.pairs(c.Context(), days, a, b)
+			nameA, nameB := a, cmp.Or(b, a)
+			as, bs, err := p.pairs(c.Context(), days, others, a, nameB)
 			if err != nil {
 				return err
 			}
-			broken := 0
+			if against != "" {
+				nameA, nameB = files[0]+" by "+nameA, against+" by "+nameB
+			}
+			all := map[string][]report.Difference{}
 			for at, file := range files {
 				these := func(all []report.Report) []report.Report { return all[at*seeds : (at+1)*seeds] }
-				diffs, err := report.Compare(these(as), these(bs))
-				if err != nil {
+				if all[file], err = report.Compare(these(as), these(bs)); err != nil {
 					return err
 				}
 				fmt.Fprintf(c.OutOrStdout(), "\n%s\n", file)
-				report.Table(c.OutOrStdout(), a, b, diffs)
+				report.Table(c.OutOrStdout(), nameA, nameB, all[file])
 			}
-			for _, r := range append(as, bs...) {
+			broken := 0
+			for _, r := range slices.Concat(as, bs) {
 				broken += r.Broken()
 			}
 			err = errors.Join(write(asJSON, func(w io.Writer) error {
-				for _, r := range append(as, bs...) {
-					if err := r.JSON(w); err != nil {
-						return err
-					}
-				}
-				return nil
+				return json.NewEncoder(w).Encode(map[string]any{"differences": all, "a": as, "b": bs})
 			}), write(plot, func(w io.Writer) error { return report.Plot(w, plot, as[0], bs[0]) }))
 			if err == nil && broken > 0 {
 				return errFound
@@ -261,25 +276,25 @@
 		}}
 	p.flags(c)
 	c.Flags().StringVar(&a, "a", "module", "the first decider: module, or a command on the simulator's wire")
-	c.Flags().StringVar(&b, "b", "", "the second one")
+	c.Flags().StringVar(&b, "b", "", "the second one; the first if left out")
+	c.Flags().StringVar(&against, "against", "", "a second scenario `file` for the second one: other settings, the same days")
 	c.Flags().IntVar(&seeds, "seeds", 10, "days of each scenario, by seeds from 1 on")
-	c.Flags().StringVar(&asJSON, "json", "", "a `file` for all reports as JSON")
+	c.Flags().StringVar(&asJSON, "json", "", "a `file` for the differences and all reports as JSON")
 	c.Flags().StringVar(&plot, "plot", "", "a `file` for a plot of the first pair, .svg or .png")
-	c.MarkFlagRequired("b")
 	return c
 }
 
 // pairs plays each day twice, as many at a time as there are cores.
-func (p *played) pairs(ctx context.Context, days []scenario.Scenario, a, b string) (as, bs []report.Report, err error) {
+func (p *played) pairs(ctx context.Context, days, others []scenario.Scenario, a, b string) (as, bs []report.Report, err error) {
 	as, bs = make([]report.Report, len(days)), make([]report.Report, len(days))
 	errs := make([]error, 2*len(days))
 	var wait sync.WaitGroup
 	room := make(chan struct{}, runtime.NumCPU())
-	for i, s := range days {
+	for i := range days {
 		for n, decider := range []string{a, b} {
-			to := as
+			s, to := days[i], as
 			if n == 1 {
-				to = bs
+				s, to = others[i], bs
 			}
 			wait.Add(1)
 			room <- struct{}{}
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -45,6 +45,8 @@
 type Line struct {
 	Name      string  `json:"name"`
 	Offered   int     `json:"offered"`
+	Value     float64 `json:"value_offered"` // billed, by the work that invocations take
+	Served    float64 `json:"value_served"`  // of it, what was answered within the latency objective
 	Service   float64 `json:"service"`
 	InTime    int     `json:"in_time"`
 	Late      int     `json:"late"`
@@ -127,7 +129,7 @@
 
 func line(l *world.Line) Line {
 	at := func(q float64) float64 { return float64(l.Waits.ValueAtQuantile(q)) / 1e3 }
-	return Line{Name: l.Name, Offered: l.Offered, Service: share(l.Served, l.Value), InTime: l.InTime, Late: l.Late,
+	return Line{Name: l.Name, Offered: l.Offered, Value: round(l.Value), Served: round(l.Served), Service: share(l.Served, l.Value), InTime: l.InTime, Late: l.Late,
 		Throttled: l.Throttled, Errored: l.Errored, Missed: l.Missed, P50: at(50), P90: at(90), P99: at(99), P999: at(99.9)}
 }
 
