--- a/internal/lab/loopback/loopback_test.go
+++ b/internal/lab/loopback/loopback_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"stoatweir/internal/lab/load"
 	"stoatweir/internal/lab/scenario"
 )
 
@@ -156,3 +157,11 @@
 }
 
 const program404 = "/nowhere"
+
+// Two days at once do not take each other's ports: a scheduler's is free while it is away.
+func TestPortsStayOurs(t *testing.T) {
+	a, b := host(schedulers), host(others)
+	if a == b || load.Loopback(a+":1") != nil || load.Loopback(b+":1") != nil {
+		t.Error(a, b)
+	}
+}
--- a/internal/lab/loopback/node.go
+++ b/internal/lab/loopback/node.go
@@ -42,19 +42,28 @@
 
 const limitSockets, limitMemory = 1024, 192
 
+const schedulers, others = 64, 128
+
+// host is an address that belongs to this process alone, one for schedulers and one for all others: a scheduler listens
+// at its port only once it runs, and nobody else may be given it until then, or while it is away.
+func host(part int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", part+pid>>16&63, pid>>8&255, max(1, pid&255))
+}
+
 func newNode(d *Day, number int) (*node, error) {
 	x := &node{d: d, number: number, dir: filepath.Join(d.dir, fmt.Sprint("n", number)),
 		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
 	if err := os.MkdirAll(filepath.Join(x.dir, "tmp"), 0o700); err != nil {
 		return nil, err
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", host(schedulers)+":0")
 	if err != nil {
 		return nil, err
 	}
 	x.listen = l.Addr().String()
 	l.Close()
-	if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+	if l, err = net.Listen("tcp", host(others)+":0"); err != nil {
 		return nil, err
 	}
 	x.discovery = l.Addr().String()
--- a/internal/lab/loopback/worker.go
+++ b/internal/lab/loopback/worker.go
@@ -26,7 +26,7 @@
 
 // add opens the address of a machine.
 func (d *Day) add(machine int) error {
-	w := &worker{d: d, machine: machine, addr: "127.0.0.1:0"}
+	w := &worker{d: d, machine: machine, addr: host(others) + ":0"}
 	for len(d.workers) <= machine {
 		d.workers = append(d.workers, nil)
 	}
