--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -304,7 +304,10 @@
 	switch a.Result {
 	case Succeeded:
 		w.missed, w.answers, w.fullTill = 0, w.answers+1, 0
-		w.report(a.Load)
+		if w.report(a.Load); a.Load == nil && w.now > w.reportAt+awaySpan {
+			// It has ceased to report: what was free once tells nothing, our own counts do.
+			w.figures, w.room, w.size, w.fresh = nil, need{}, need{}, 0
+		}
 		w.comeBack(w.answers >= asideProbes)
 	case Full, Dropped: // probes are capped, connections break, which tells nothing
 	default:
@@ -435,8 +438,9 @@
 			continue
 		case w.tellsStart && e.began == 0:
 			if begin := e.sent + 2*beat; begin <= w.now && w.now < begin+beat {
-				w.desk.put(begun{0})
-				w.figure(w.now, need{slots: -e.slots}) // it waits: nothing is free now, whatever the last report says
+				if w.desk.put(begun{0}); w.known {
+					w.figure(w.now, need{slots: -e.slots}) // it waits: nothing is free now, whatever the last report says
+				}
 			}
 		case w.progress > 0:
 			due = max(due, e.heard) + w.progress
--- a/dispatch/trace_test.go
+++ b/dispatch/trace_test.go
@@ -721,3 +721,27 @@
 	// 2.11s 3 to a
 	// 2.11s 4 to a
 }
+
+// Where no worker reports, our own counts tell where room is, also when a forward has not started at once; and so they do
+// where reports cease: what was free once tells nothing.
+func Example_noReports() {
+	dep := shop()
+	dep.TellsStart = true
+	p := start(dep, ready('a', 0), ready('b', 0))
+	p.at(10*ms, job(1, 0, 2), job(2, 0, 2))
+	p.until(100 * ms)
+	p.at(110*ms, job(3, 0, 2), job(4, 0, 2))
+	p.until(200 * ms)
+	p = start(dep, ready('a', 0))
+	p.at(10*ms, free('a', 1), job(1, 0, 2))
+	p.at(20*ms, Sign{Inv: 1, Worker: id('a'), Started: true}, job(2, 2, 2)) // held: nothing is free
+	p.at(1000*ms, Answer{Worker: id('a'), Result: Succeeded})               // it is early yet
+	p.at(1400*ms, Answer{Worker: id('a'), Result: Succeeded})
+	// Output:
+	// 10ms 1 to b
+	// 10ms 2 to a
+	// 110ms 3 to a
+	// 110ms 4 to b
+	// 10ms 1 to a
+	// 1.4s 2 to a
+}
