Laboratory: a worker tells no report until its first one is out

The model answered probes with all noughts until then, which no worker of the platform's protocol means by a report; the service passes such ones over, the module in virtual time does not.

--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -93,6 +93,7 @@
 	served       time.Duration // a running mean of service times
 	reports      []reported    // made, and not out yet
 	shown        Report
+	tells        bool // a report is out: until then there is none
 	reportedAt   time.Duration
 	recent       []arrived // work that came in of late, while cold
 }
@@ -402,9 +403,9 @@
 			Active: float64(len(m.work) + len(m.queue)), ServiceMs: m.served.Seconds() * 1e3}})
 	}
 	for len(m.reports) > 0 && m.reports[0].at+f.s.Reports.Delay.D()+f.late <= now {
-		m.shown, m.reports = m.reports[0].r, m.reports[1:]
+		m.shown, m.reports, m.tells = m.reports[0].r, m.reports[1:], true
 	}
-	if f.absent > 0 || len(f.s.Reports.Fields) == 0 {
+	if f.absent > 0 || len(f.s.Reports.Fields) == 0 || !m.tells {
 		return nil, Taken
 	}
 	r := m.shown
@@ -416,7 +417,7 @@
 	f.settle(m, now)
 	m.down = true
 	held := append(slices.Clone(m.work), m.queue...)
-	m.work, m.queue, m.used, m.recent, m.reports, m.shown = nil, nil, 0, nil, nil, Report{}
+	m.work, m.queue, m.used, m.recent, m.reports, m.shown, m.tells = nil, nil, 0, nil, nil, Report{}, false
 	for _, a := range held {
 		a.state = over
 		if m.silent == 0 {
