Nothing goes to a worker for a client that has left, nor for a stray answer's sake

Cause: a forward's request was built when its connection came up without asking whether its client was still owed an answer (workers.Forward, the closure). Where settings allow cancels the decisions' cancel closes the connection first; where they allow none nothing did, and a request went out after its final answer. Ruled out: the client timeout (its alarm drops the connection) and drains (asked for already).

From reading the same lines, each confirmed by a test before the change: - line.Read: more bytes behind an early answer ended the ask and left its alarm, which rang on a line without one: a panic. - A second answer that comes late on a kept connection was taken for the next request's; one that says X-Rejected would free non-idempotent work to be sent again. Such work goes only over a connection that is new or has rested for 0.1 s. - returned or X-Rejected after the worker's own started counted as never ran (Fleet.end, conn.Ending.NeverRan). - A connection that came up at a worker's old address carried the request to whoever listens there now.

--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -111,6 +111,7 @@
 	s.chance = rand.New(rand.NewPCG(uint64(node.Seed), uint64(start.UnixNano())))
 	s.door.Event, s.fleet.Event = event, event
 	s.door.Took = func(j *workers.Invocation, operation int) {
+		j.Once = s.once(operation)
 		s.invs[j.Inv] = &tracked{Invocation: j, operation: operation, seat: s.hosting.came(j.ID)}
 	}
 	s.door.News, s.door.Report = s.fleet.Take, s.report
@@ -131,6 +132,11 @@
 	return s, nil
 }
 
+// once tells whether an operation's work must never run twice.
+func (s *service) once(operation int) bool {
+	return s.site.Deployment.Operations[operation].Effect == dispatch.NonIdempotent
+}
+
 // onSockets adds what holds on sockets, whatever the settings say.
 func onSockets(d *dispatch.Deployment) {
 	d.Rules.AskWithin = min(d.Rules.AskWithin, toldWithin)
--- a/internal/conn/ending.go
+++ b/internal/conn/ending.go
@@ -47,6 +47,15 @@
 // Result is the module's word for the ending of a forward or a probe.
 func (e Ending) Result() dispatch.Result { return results[e] }
 
+// NeverRan tells whether it proves that nothing has run.
+func (e Ending) NeverRan() bool {
+	switch e.Result() {
+	case dispatch.Full, dispatch.Unreachable, dispatch.NotSent:
+		return true
+	}
+	return false
+}
+
 // Written tells whether the whole request had gone out when it came to that end.
 func (e Ending) Written() bool {
 	switch e {
--- a/internal/workers/line.go
+++ b/internal/workers/line.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"slices"
 	"time"
 
 	"stoatweir/internal/conn"
@@ -9,8 +10,10 @@
 
 // ask is one request and its answer.
 type ask struct {
-	request func() []byte // at the moment of sending; nil: it is not to be sent any more
+	// request is built at the moment of sending; none: it is not to be sent any more, and why.
+	request func() ([]byte, conn.Ending)
 	done    func(m *http1.Message, e conn.Ending)
+	alone   bool   // an answer taken for its own that is another's could have it run twice
 	wrote   func() // its last byte has been written; nil: nobody wants to know
 	limit   *conn.Alarm
 }
@@ -25,25 +28,34 @@
 
 // line is a kept connection to a worker; it carries one request at a time.
 type line struct {
-	fleet  *Fleet
-	worker *worker
-	c      *conn.Conn
-	parser http1.Parser
-	ask    *ask           // nil: idle
-	early  *http1.Message // its answer, which came before all of the request had gone out
-	expiry *conn.Alarm    // of an idle one, or of waiting for that
-	kept   bool           // it has carried an answer before
-	parked time.Duration  // when it was last put by
-}
+	fleet    *Fleet
+	worker   *worker
+	endpoint string // where it leads: a worker may move while it comes up
+	c        *conn.Conn
+	parser   http1.Parser
+	ask      *ask           // nil: idle
+	early    *http1.Message // its answer, which came before all of the request had gone out
+	expiry   *conn.Alarm    // of an idle one, or of waiting for that
+	kept     bool           // it has carried an answer before
+	parked   time.Duration  // when it was last put by
+}
+
+// strayMost is how late a second answer may come to a request that has had one. On a connection that has rested for so long
+// the next answer belongs to the next request.
+const strayMost = 100 * time.Millisecond
 
 // ask sends on the connection used last, as it is the least likely to have been closed by the worker, or opens one.
 // nil: it has failed at once, and done has been called.
 func (f *Fleet) ask(w *worker, a *ask) *line {
-	for n := len(w.idle); n > 0; n = len(w.idle) {
-		l := w.idle[n-1]
-		w.idle = w.idle[:n-1]
+	for n := len(w.idle) - 1; n >= 0; n-- {
+		l := w.idle[n]
+		rested := f.loop.Now() - l.parked
+		if a.alone && rested < strayMost {
+			continue
+		}
+		w.idle = slices.Delete(w.idle, n, n+1)
 		l.expiry.Stop()
-		if f.loop.Now()-l.parked > f.keeps() {
+		if rested > f.keeps() {
 			l.c.Close()
 			continue
 		}
@@ -58,16 +70,24 @@
 		return nil
 	}
 	f.Counts.Dialled++
-	l := &line{fleet: f, worker: w, parser: http1.Parser{Answers: true}, ask: a}
+	l := &line{fleet: f, worker: w, endpoint: w.endpoint, parser: http1.Parser{Answers: true}, ask: a}
 	l.c = f.share.Dial(w.endpoint, f.site.ConnTimeout, l)
 	return l
 }
 
 func (l *line) send() bool {
-	request := l.ask.request()
+	request, why := l.ask.request()
+	moved := l.endpoint != l.worker.endpoint // who listens there now may be another
+	if moved {
+		request, why = nil, conn.Withheld
+	}
 	if request == nil {
-		l.finish(nil, conn.Withheld)
-		l.park()
+		l.finish(nil, why)
+		if moved {
+			l.c.Close()
+		} else {
+			l.park()
+		}
 		return false
 	}
 	l.c.Write(request)
@@ -146,14 +166,20 @@
 	l.finish(m, conn.Open)
 }
 
+// overtaken ends the wait for the word that the request has gone out, however it ends: the alarm must not ring after it.
+func (l *line) overtaken() {
+	l.expiry.Stop()
+	l.finishEarly()
+	l.c.Close()
+}
+
 // Read takes an answer in.
 func (l *line) Read(c *conn.Conn) {
 	for c.In.Len() > 0 {
 		n, step, err := l.parser.Feed(c.In.Bytes())
 		c.In.Drop(n)
 		if l.early != nil {
-			l.finishEarly()
-			c.Close()
+			l.overtaken()
 			return
 		}
 		if l.ask == nil || err != nil {
@@ -172,7 +198,7 @@
 		case c.Unsent() > 0:
 			// The answer has overtaken the word that the request has gone out, which is waited for before the
 			// connection is used again; or the worker has answered without reading on.
-			l.early, l.expiry = m, l.fleet.loop.After(earlyMost, func() { l.finishEarly(); c.Close() })
+			l.early, l.expiry = m, l.fleet.loop.After(earlyMost, l.overtaken)
 		default:
 			l.park()
 			l.finish(m, conn.Open)
@@ -217,8 +243,7 @@
 // Down ends what was asked. An answer without a length ends with its connection.
 func (l *line) Down(_ *conn.Conn, e conn.Ending) {
 	if l.early != nil {
-		l.expiry.Stop()
-		l.finishEarly()
+		l.overtaken()
 		return
 	}
 	if l.ask != nil && e == conn.Closed && l.parser.End() {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -32,6 +32,7 @@
 	Fields             []http1.Field // go on unchanged
 	Body               []byte
 	GivenUp            time.Duration // when its client stops waiting
+	Once               bool          // it must never run twice
 	Hint               float64       // what it says of its work, in seconds; 0: nothing
 }
 
@@ -89,6 +90,7 @@
 	worker   *worker
 	line     *line // until the worker has taken it
 	taken    bool  // by a 202: the connection is free, the worker's slot is not
+	began    bool  // its worker has told so
 	deadline *conn.Alarm
 }
 
@@ -148,14 +150,19 @@
 	o.deadline = f.loop.After(inv.GivenUp-f.loop.Now(), func() { f.end(o, conn.Expired, nil) })
 	o.line = f.ask(w, &ask{
 		wrote: f.Wrote,
-		request: func() []byte {
-			// The connection may have taken its time to come up: nothing is sent to a worker that drains by now.
+		alone: inv.Once,
+		request: func() ([]byte, conn.Ending) {
+			// The connection may have taken its time to come up: nothing is sent to a worker that drains by now, nor for a
+			// client that has left or has its answer, which no cancel tells where the settings allow none.
 			if w.entry.Standing != dispatch.Ready {
-				return nil
+				return nil, conn.Withheld
+			}
+			if !f.Owed(inv.Inv) {
+				return nil, conn.Unsent
 			}
 			left := max(0, inv.GivenUp-f.loop.Now()).Seconds()
 			return http1.Request(inv.Method, inv.Target, w.endpoint, inv.Body,
-				append(slices.Clip(inv.Fields), http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...)
+				append(slices.Clip(inv.Fields), http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...), conn.Open
 		},
 		done: func(m *http1.Message, e conn.Ending) {
 			o.line = nil
@@ -218,6 +225,9 @@
 	delete(f.byNumber, key)
 	delete(f.byName, name{o.inv.ID, o.worker.uid})
 	o.deadline.Stop()
+	if o.began && e.NeverRan() {
+		e = conn.Lost // whatever says so now, its worker had begun it
+	}
 	switch l := o.line; {
 	case l == nil:
 	case e == conn.CalledOff || e == conn.Expired:
@@ -234,10 +244,14 @@
 		Load: load, Closed: !f.Owed(o.inv.Inv)})
 }
 
+func always(request []byte) func() ([]byte, conn.Ending) {
+	return func() ([]byte, conn.Ending) { return request, conn.Open }
+}
+
 func (f *Fleet) cancel(o *forward) {
 	f.Counts.Cancels++
 	request := http1.Request("DELETE", "/jobs/"+o.inv.ID, o.worker.endpoint, nil)
-	a := &ask{request: func() []byte { return request }, done: func(*http1.Message, conn.Ending) {}}
+	a := &ask{request: always(request), done: func(*http1.Message, conn.Ending) {}}
 	if l := f.ask(o.worker, a); l != nil {
 		a.limit = f.loop.After(cancelWithin, l.drop)
 	}
@@ -267,7 +281,7 @@
 		f.Counts.Answered[e.String()]++
 		f.Event(dispatch.Answer{Worker: id, Result: e.Result(), Took: f.loop.Now() - asked, Load: load})
 	}
-	a := &ask{request: func() []byte { return request }}
+	a := &ask{request: always(request)}
 	a.done = func(m *http1.Message, e conn.Ending) {
 		if m != nil {
 			e = answered(m)
@@ -298,9 +312,10 @@
 	sign := dispatch.Sign{Inv: o.inv.Inv, Worker: o.worker.entry.Worker, Forward: o.number, Done: n.Share}
 	switch n.State {
 	case "started":
-		sign.Started = true
+		o.began, sign.Started = true, true
 		f.Event(sign)
 	case "running":
+		o.began = true
 		f.Event(sign)
 	case "done":
 		if n.Result == nil {
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"stoatweir/dispatch"
@@ -27,6 +28,8 @@
 	heard  chan string // requests at the worker, by connection
 	ended  int
 	lines  []string // what was told, in order
+	mu     sync.Mutex
+	conns  []net.Conn // at the worker
 	closed map[dispatch.InvID]bool
 }
 
@@ -53,6 +56,9 @@
 			if err != nil {
 				return
 			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
 			go func() {
 				for r := bufio.NewReader(c); ; {
 					text := textproto.NewReader(r)
@@ -100,6 +106,13 @@
 	return s
 }
 
+// say has the worker send something over its nth connection.
+func (s *stage) say(n int, text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	io.WriteString(s.conns[n-1], text)
+}
+
 func (s *stage) stand(standing dispatch.Standing) {
 	s.List(discovery.List{Form: dispatch.ListDelta, Workers: []discovery.Worker{{UID: "s-1", Endpoint: s.id.String(),
 		Entry: dispatch.Entry{Worker: s.id, Standing: standing}}}})
