What was read of an idle connection is served before it ends; leaving clients are seen; stops end in time

- Door.Follow, visit.late and Share.Spare ended idle and silent connections while bytes of a request might be in the reader goroutine's note: a request that had been read was lost.
They now stop the reading first (Conn.Detach) and end only if nothing had come.
- The end of the process left what the listener had accepted and the loop had not met (Door.Close waits for it), and shut connections that had come just before, with their first request on the way.
- visit.Read: behind an invocation, more bytes than the ring holds stopped the reading, so that its client's leaving was never seen; it was sent on up to its client timeout.
They are thrown away now (Conn.Ignore) and the end is seen.
- A request whose client had left before it was read was taken in and sent on at once, however long ago that was (Conn.Left asks).
- life.Cycle.Stop: with a longest client timeout under 1.3 s the process was still giving answers at the kill, 0.7 s past that timeout.
The end follows that figure now, from the settings, else from what clients said.
One expected trace in life_test.go had the end exactly at the kill; it is 0.3 s earlier now.
- SIGTERM between the start and signal.Notify ended the program without a word, also with clients in the queue at its address.

Example_spare and Example_drain wait for what ends by now in a turn of the loop; their expected lines are as before. Not found: SIGTERM twice, before the list, SIGHUP during a stop (TestStopBeforeTheList passes before and after).

--- /dev/null
+++ b/cmd/stoatweir/crossings_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"stoatweir/internal/handover"
+)
+
+// send hands in an invocation without waiting for its answer.
+func (r *rig) send(class, id string) (net.Conn, *bufio.Reader) {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.listen)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, post("/"+class+"/k", "X-Call-Id: "+id+"\r\nX-Call-Class: "+class+"\r\nX-Budget: 10\r\n", id))
+	return c, bufio.NewReader(c)
+}
+
+// outstanding waits until so many invocations are in hand.
+func (r *rig) outstanding(p *process, n int) {
+	r.t.Helper()
+	for end := time.Now().Add(10 * time.Second); p.figures(r.t)["svc_outstanding"] != n; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatal("not ", n, " in hand: ", p.figures(r.t))
+		}
+	}
+}
+
+// Clients wait for half a second at most, workers hang as the order to stop comes, and one is killed 0.7 s later: everything in
+// hand has its answer by then, non-idempotent work that was sent is not said to be harmless to repeat, and what
+// comes up to the end over connections that stay open is answered too.
+func TestStopBeforeAnEarlyKill(t *testing.T) {
+	const longest = 500 * time.Millisecond
+	r := newRig(t, 2, time.Hour)
+	r.operations(map[string]any{"Name": "render", "Effect": "read_like", "LatencyObjective": 0.3, "ClientTimeout": longest.Seconds()},
+		map[string]any{"Name": "sale", "Effect": "non_idempotent", "LatencyObjective": 0.3, "ClientTimeout": longest.Seconds()})
+	r.write()
+	p := r.start()
+	r.ready(p)
+	answers := make(chan string, 2)
+	for _, class := range []string{"render", "sale"} {
+		_, b := r.send(class, class+"-hangs")
+		go func() {
+			first, _, _, err := answerOf(b)
+			answers <- fmt.Sprint(class, " ", first, " ", err)
+		}()
+	}
+	r.outstanding(p, 2)
+	kept := &keptConn{addr: r.listen}
+	kept.ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	began, asked := time.Now(), 0
+	p.Process.Signal(syscall.SIGTERM)
+	r.logged(p, "told to stop", 1)
+	for ; kept.c != nil; asked++ { // as long as it stays open
+		first := kept.c
+		status, body := kept.ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		if kept.c != nil && kept.c != first { // it had ended between two requests; the new one is the last to come
+			break
+		}
+		if status != 503 && kept.c != nil {
+			t.Error("kept while stopping: ", status, body)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	kept.close()
+	r.end(p, longest+700*time.Millisecond-time.Since(began))
+	t.Log("ended after ", time.Since(began), ", asked ", asked)
+	for range 2 {
+		got := <-answers
+		if strings.HasPrefix(got, "sale") && got != "sale HTTP/1.1 500 <nil>" || !strings.HasSuffix(got, "<nil>") {
+			t.Error(got)
+		}
+	}
+}
+
+// The order to stop comes before there is a list, with a request in hand that nobody could have: it gets its answer, and a
+// second order changes nothing.
+func TestStopBeforeTheList(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	r := newRig(t, 0, 0)
+	r.config["discovery"], r.config["known"] = silent.Addr().String(), nil
+	r.write()
+	p := r.start()
+	var c net.Conn
+	for c == nil { // it hears, and is not ready
+		if c, err = net.Dial("tcp", r.listen); err != nil {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	c.Close()
+	_, b := r.send("render", "early")
+	r.outstanding(p, 1)
+	p.Process.Signal(syscall.SIGTERM)
+	r.logged(p, "told to stop", 1)
+	p.Process.Signal(syscall.SIGTERM)
+	p.Process.Signal(syscall.SIGHUP)
+	if first, _, _, err := answerOf(b); first != "HTTP/1.1 503" || err != nil {
+		t.Error(first, err)
+	}
+	r.end(p, 4*time.Second)
+}
+
+// The order to stop comes before anything listens: it is carried out, and is no death.
+func TestStopBeforeListening(t *testing.T) {
+	r := newRig(t, 1, 0)
+	// A neighbour in the temporary folder that takes the new process's call and says nothing holds it before it listens.
+	tmp := filepath.Join(r.dir, "tmp")
+	os.MkdirAll(tmp, 0o700)
+	place, err := handover.Place(tmp, r.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: place, Net: "unixpacket"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := r.start()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	p.Process.Signal(syscall.SIGTERM)
+	r.end(p, 6*time.Second)
+}
--- a/cmd/stoatweir/life.go
+++ b/cmd/stoatweir/life.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -93,7 +94,7 @@
 		s.failRest()
 	}
 	waits := m.Passes && !m.Shuts && s.door.Passable()
-	if m.Over || m.Leaves && !waits && s.door.InHand() == 0 && !s.door.Busy() {
+	if m.Over || m.Leaves && !waits && s.door.InHand() == 0 && !s.door.Busy() && s.door.Close() {
 		s.loop.Stop()
 		return
 	}
@@ -113,5 +114,6 @@
 // stop is the order to end. Clients go on coming for a while and what is in hand is still worth serving; what can't
 // be served in time is answered as errored, which promises nothing, well before a kill would lose it.
 func (s *service) stop() {
-	s.lives("told to stop", func() bool { s.life.Stop(s.loop.Now(), s.site.LongestTimeout); return true })
+	longest := cmp.Or(s.site.LongestTimeout, s.door.Longest) // where no setting tells, what clients said
+	s.lives("told to stop", func() bool { s.life.Stop(s.loop.Now(), longest); return true })
 }
--- a/cmd/stoatweir/main.go
+++ b/cmd/stoatweir/main.go
@@ -44,10 +44,11 @@
 
 // scheduler is one scheduler, until it is told to end.
 func scheduler() {
-	// First of all: an order to read the configuration anew that came any earlier would end the program. Orders that
-	// come while one is carried out are one, as the file is read after the last of them.
-	reloads := make(chan os.Signal, 1)
+	// First of all: an order that came any earlier would end the program, also with clients in the queue at its address.
+	// Orders to read the configuration anew that come while one is carried out are one, as the file is read after the last.
+	reloads, signals := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	// Whoever reads our log may go away: that is no reason to end.
 	signal.Ignore(syscall.SIGPIPE)
 	log := logrus.New()
@@ -59,7 +60,11 @@
 	}
 	runtime.GOMAXPROCS(1) // one core is ours; more threads would only take turns on it
 	entry := log.WithField("node", node.Name)
-	at, err := arrive(node, os.TempDir(), entry)
+	at, err := arrive(node, os.TempDir(), entry, func() bool { return len(signals) > 0 })
+	if errors.Is(err, errTold) {
+		entry.Info("told to stop before it was our turn")
+		return
+	}
 	if err != nil {
 		log.WithError(err).Fatal("listen: ", node.Listen)
 	}
@@ -86,8 +91,6 @@
 	}
 	out := newLines(os.Stderr)
 	log.SetOutput(out)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	go func() {
 		for range signals {
 			s.loop.Order(order{s, s.stop})
--- a/cmd/stoatweir/successor.go
+++ b/cmd/stoatweir/successor.go
@@ -42,13 +42,18 @@
 	welcome  handover.Message
 }
 
+// errTold: we have nothing yet, and are to end.
+var errTold = errors.New("told to stop")
+
 // arrive finds who serves at our address and gets its socket, or one of our own.
-func arrive(node settings.Node, dir string, log *logrus.Entry) (at address, err error) {
+func arrive(node settings.Node, dir string, log *logrus.Entry, told func() bool) (at address, err error) {
 	var why error
 	if at.place, why = handover.Place(dir, node.Listen); why == nil {
 		at.link, at.welcome, at.listener, why = handover.Find(at.place, node.Listen)
 		for began := time.Now(); errors.Is(why, handover.ErrBusy) && time.Since(began) < turnIn; {
-			time.Sleep(turnAgain)
+			if time.Sleep(turnAgain); told() {
+				return at, errTold
+			}
 			at.link, at.welcome, at.listener, why = handover.Find(at.place, node.Listen)
 		}
 	}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -33,6 +33,9 @@
 	// nothing, or sends a byte now and then, is owed an end within 3 s, and holds a descriptor until then.
 	readIn      = 2500 * time.Millisecond
 	acceptAgain = 50 * time.Millisecond
+	// firstIn is how long a connection that has just come stays open at a stop: its first request is on the way, and its client
+	// takes an end without a word for a refusal.
+	firstIn = 200 * time.Millisecond
 	// Who is turned away for a request that makes no sense and asks again on the same connection waits ever longer
 	// for the next answer: thousands of such requests a second would take the core from all others.
 	patienceFirst, patienceMost = 2 * time.Millisecond, 250 * time.Millisecond
@@ -64,6 +67,7 @@
 	Foreign func(id string) bool
 	Holds   func(id string, holds bool)
 	Counts  Counts
+	Longest time.Duration // that a client has said it waits
 	Ledger  *ledger.Ledger
 	Gate    *tenants.Gate // who may come in, where tenants are served; nil: all may
 
@@ -77,6 +81,7 @@
 	more       chan struct{} // lets the listener accept one more
 	leave      bool          // it has been let
 	hears      bool          // it may be
+	closes     bool          // it is not to be any more
 	passing    int           // connections on their way to another process
 	waits      bool          // for a descriptor
 	retry      *conn.Alarm
@@ -163,7 +168,7 @@
 		return
 	}
 	d.Counts.Connections++
-	v := &visit{door: d}
+	v := &visit{door: d, came: d.loop.Now()}
 	d.visits[v] = struct{}{}
 	v.c = d.share.Adopt(a.net, v)
 	v.c.Set(conn.Mute) // its first request is on the way: older ones without a word go before it
@@ -173,7 +178,7 @@
 
 func (d *Door) accept() {
 	d.retry.Stop()
-	if d.waits = false; d.leave || d.listener == nil || !d.Manner().Hears {
+	if d.waits = false; d.leave || d.listener == nil || d.closes || !d.Manner().Hears {
 		return
 	}
 	if d.waits = !d.share.Spare(0); !d.waits {
@@ -264,26 +269,40 @@
 // client that has waited for long, and be refused at once.
 func (d *Door) Follow() {
 	m := d.Manner()
-	if deaf, can := d.listener.(interface{ SetDeadline(time.Time) error }); can && d.hears != m.Hears {
-		// Whoever waits in the queue is for the other process, which listens at the same socket.
-		if d.hears = m.Hears; d.hears {
-			deaf.SetDeadline(time.Time{})
-		} else {
-			deaf.SetDeadline(time.Unix(1, 0))
-		}
-	}
+	d.closes = d.closes && m.Leaves
+	d.listens(m.Hears && !d.closes) // whoever waits in the queue is for the other process, which listens at the same socket
 	d.accept()
 	for v := range d.visits {
 		switch {
 		case v.inv != 0 || v.waits || v.parcel != nil || m.News && v.brings:
 		case m.Sweeps && v.parser.Started() && !v.last:
 			v.malformed(408)
-		case m.Shuts && !v.parser.Started() && v.c.In.Len() == 0 && v.c.Unsent() == 0:
-			v.quit()
+		case m.Shuts && v.idle() && !v.young():
+			v.part()
 		}
 	}
 }
 
+func (d *Door) listens(hears bool) {
+	deaf, can := d.listener.(interface{ SetDeadline(time.Time) error })
+	if !can || d.hears == hears {
+		return
+	}
+	if d.hears = hears; hears {
+		deaf.SetDeadline(time.Time{})
+	} else {
+		deaf.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// Close lets nobody in any more, and tells whether nobody is on the way in: a connection that the listener has accepted
+// and the door has not met yet would end without a word.
+func (d *Door) Close() bool {
+	d.closes = true
+	d.listens(false)
+	return !d.leave || d.hears
+}
+
 // Rest lists the invocations that are owed an answer, oldest first.
 func (d *Door) Rest() []dispatch.InvID { return slices.Sorted(maps.Keys(d.inHand)) }
 
@@ -294,7 +313,7 @@
 		return true
 	}
 	for v := range d.visits {
-		if v.c.Unsent() > 0 || v.parser.Started() {
+		if v.c.Unsent() > 0 || v.parser.Started() || v.waits || v.parts || v.young() {
 			return true
 		}
 	}
@@ -313,6 +332,8 @@
 	strays int            // requests in a row that made no sense
 	useful bool           // it has brought an invocation or news
 	brings bool           // the latter
+	came   time.Duration  // the connection
+	parts  bool           // it ends unless a request of it has been read
 	parcel *Parcel        // it is on its way to another process
 	stays  bool           // that one would not have it
 }
@@ -341,6 +362,29 @@
 	}
 }
 
+// idle: nothing of a request is there, and nothing of an answer is left.
+func (v *visit) idle() bool {
+	return v.inv == 0 && !v.waits && !v.parser.Started() && v.c.In.Len() == 0 && v.c.Unsent() == 0
+}
+
+// young: it has just come, and its first request with it.
+func (v *visit) young() bool { return !v.useful && v.door.loop.Now() < v.came+firstIn }
+
+// part ends an idle connection. A request that has been read by now is served first; one that comes later has not been
+// read, and its client sends it again.
+func (v *visit) part() {
+	v.parts = true
+	v.c.Detach(func() {
+		if v.parts = false; !v.idle() {
+			v.c.Attach()
+			return
+		}
+		v.slow.Stop()
+		delete(v.door.visits, v)
+		v.c.Close()
+	})
+}
+
 func (v *visit) quit() {
 	delete(v.door.visits, v)
 	v.slow.Stop()
@@ -355,8 +399,7 @@
 		return
 	}
 	v.door.Counts.Silent++
-	delete(v.door.visits, v)
-	v.c.Close()
+	v.part()
 }
 
 // Read takes a request in. One at a time: clients wait for answers, so what follows an invocation before its answer is
@@ -382,7 +425,9 @@
 		}
 	}
 	if v.inv != 0 && c.In.Len() > 0 {
+		// More than the ring holds would stop the reading, and its client's leaving would not be seen.
 		v.last = true
+		c.Ignore()
 	}
 	if !v.parser.Started() || v.last || v.waits {
 		return
@@ -540,6 +585,11 @@
 	case d.ids[prefix+id], d.Foreign(prefix + id):
 		v.refuse(409) // the one in hand has its own answer coming
 		return
+	case v.c.Left():
+		// It waited to be read for longer than its client did. A half close counts as one, as the protocol has it.
+		delete(d.visits, v)
+		v.c.Close()
+		return
 	case len(d.inHand) >= d.most, !d.Manner().Takes:
 		d.Counts.Crowded++
 		d.Ledger.Took(d.classes[operation])
@@ -564,6 +614,7 @@
 		budget = min(budget, most) // a longer one would look as if all other clients had waited for long
 	}
 	v.strays, v.useful = 0, true
+	d.Longest = max(d.Longest, budget)
 	now := d.loop.Now()
 	givenUp := now + budget - early // a request's time counts from its last byte
 	d.last++
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -430,11 +430,17 @@
 		return len(d.visits) == 3 && begun == 2
 	})
 	manner = life.Manner{Hears: true, Takes: true, Shuts: true, News: true}
-	d.Follow()
-	fmt.Println("left:", len(d.visits))
+	goes := func(left int) {
+		l.After(0, d.Follow)
+		until(l, "those that go", func() bool {
+			l.After(time.Millisecond, d.Follow)
+			return len(d.visits) == left
+		})
+		fmt.Println("left:", left)
+	}
+	goes(2)
 	manner.Sweeps = true
-	d.Follow()
-	fmt.Println("left:", len(d.visits))
+	goes(1)
 	worker.Write([]byte("POST /_jobs/news HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"))
 	until(l, "more news", func() bool { return !d.Busy() && d.share.Used() == 1 })
 	for _, c := range []net.Conn{silent, half} {
--- a/internal/clients/pass.go
+++ b/internal/clients/pass.go
@@ -128,7 +128,7 @@
 			return 0, false
 		}
 	}
-	v := &visit{door: d, useful: !p.Fresh, brings: p.News}
+	v := &visit{door: d, useful: !p.Fresh, brings: p.News, came: d.loop.Now()}
 	d.visits[v] = struct{}{}
 	v.c = d.share.Inherit(nc, p.Read, v)
 	if j == nil {
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"stoatweir/internal/ring"
 )
 
@@ -60,6 +62,7 @@
 	toRead, toWrite  chan []byte
 	reading, writing bool // a run of bytes is with the goroutine
 	up, ended, quits bool
+	ignores          bool   // what still comes is thrown away
 	deaf             bool   // nothing more is read
 	detached         func() // is told once nothing moves any more; nil: all goes its way
 	ending           Ending
@@ -277,12 +280,40 @@
 	}
 }
 
+// Ignore throws away whatever still comes, so that its end is seen however much that is.
+func (c *Conn) Ignore() {
+	c.ignores = true
+	c.In.Drop(c.In.Len())
+}
+
+// Left tells whether the peer has closed its side, also where that has not been read yet.
+func (c *Conn) Left() bool {
+	socket, is := c.Socket()
+	if !is {
+		return c.ended
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	left := false
+	raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		left = n == 0 && err == nil || errors.Is(err, unix.ECONNRESET)
+	})
+	return left
+}
+
 // Quit ends the connection once all is written, so that the peer gets it whole; the owner hears no more of it.
 func (c *Conn) Quit() {
 	if c.ended || c.quits {
 		return
 	}
 	c.quits, c.owner = true, nil
+	if c.detached != nil {
+		c.detached = nil
+		c.net.SetReadDeadline(time.Time{})
+	}
 	if c.Resume(); c.Unsent() == 0 {
 		c.shut()
 		return
@@ -346,7 +377,7 @@
 func (c *Conn) read() {
 	var b []byte // none: to be swallowed
 	switch {
-	case c.quits:
+	case c.quits, c.ignores:
 	case c.In.Empty():
 		b = make([]byte, firstly)
 		c.first = b
@@ -360,11 +391,13 @@
 }
 
 // Detach stops the reading and tells once, when all that was read is in and all that was written has gone out: then the
-// socket can be another process's. It does not tell if the connection ends before.
+// socket can be another process's, or end with no request lost that has been read. It does not tell if the connection
+// ends before.
 func (c *Conn) Detach(done func()) {
 	if c.ended || c.quits || !c.up || c.detached != nil {
 		return
 	}
+	c.unlist()
 	c.detached = done
 	c.net.SetReadDeadline(time.Unix(1, 0))
 	c.loop.After(0, c.still)
@@ -384,6 +417,7 @@
 	if c.detached = nil; c.ended {
 		return
 	}
+	c.list()
 	c.net.SetReadDeadline(time.Time{})
 	c.Resume()
 }
@@ -414,18 +448,29 @@
 	case c.use == u || c.ended && u != Busy:
 		return
 	}
-	spare := &c.share.spare
-	if at := slices.Index(spare[c.use], c); at >= 0 {
-		spare[c.use] = slices.Delete(spare[c.use], at, at+1)
+	c.unlist()
+	c.use, c.since = u, c.loop.now
+	c.list()
+}
+
+func (c *Conn) unlist() {
+	spare := &c.share.spare[c.use]
+	if at := slices.Index(*spare, c); at >= 0 {
+		*spare = slices.Delete(*spare, at, at+1)
 	}
-	if c.use, c.since = u, c.loop.now; u != Busy {
-		spare[u] = append(spare[u], c)
+}
+
+// list enters the connection among those that may end for want of descriptors. One that is stopped already goes its way.
+func (c *Conn) list() {
+	if c.use != Busy && c.detached == nil {
+		c.share.spare[c.use] = append(c.share.spare[c.use], c)
 	}
 }
 
 func (c *Conn) release() {
 	c.Set(Busy)
 	delete(c.share.flushing, c)
+	delete(c.share.parting, c)
 	c.share.used--
 	if c.share.Freed != nil {
 		c.share.Freed()
@@ -441,11 +486,12 @@
 	used, most int
 	spare      [Done + 1][]*Conn // by use, oldest first
 	flushing   map[*Conn]struct{}
+	parting    map[*Conn]struct{} // stopped for want of descriptors: a request of theirs may have been read
 }
 
 // Share sets so many descriptors apart.
 func (l *Loop) Share(most int) *Share {
-	return &Share{loop: l, most: most, flushing: map[*Conn]struct{}{}}
+	return &Share{loop: l, most: most, flushing: map[*Conn]struct{}{}, parting: map[*Conn]struct{}{}}
 }
 
 // Resize gives the share more or less. What is over it goes as far as it may; what can't go keeps others from coming.
@@ -466,19 +512,36 @@
 
 // Spare tells whether one more descriptor can be had with at least keep left. To make room, connections of least use
 // end, the oldest first: those that say nothing or send half requests could hold all descriptors, and nobody else would
-// get in. Their owners hear so as if the peer had closed them.
+// get in. Their owners hear so as if the peer had closed them. What may still hold a request ends only once all that was
+// read of it is in: Freed tells of that room.
 func (s *Share) Spare(keep int) bool {
-	for s.used+keep >= s.most {
+	for s.used-len(s.parting)+keep >= s.most {
 		c := s.leastUseful()
 		if c == nil {
 			return false
 		}
-		owner := c.owner
-		if c.Close(); owner != nil {
-			owner.Down(c, Crowded)
+		if c.use == Done || c.quits {
+			c.crowdedOut()
+			continue
 		}
+		use, since := c.use, c.since
+		s.parting[c] = struct{}{}
+		c.Detach(func() {
+			if delete(s.parting, c); c.use != use || c.since != since {
+				c.Attach() // it has gone on
+				return
+			}
+			c.crowdedOut()
+		})
+	}
+	return s.used+keep < s.most
+}
+
+func (c *Conn) crowdedOut() {
+	owner := c.owner
+	if c.Close(); owner != nil {
+		owner.Down(c, Crowded)
 	}
-	return true
 }
 
 // leastUseful: those on which nothing is to come, those that say nothing, those that have stopped in the midst; then idle
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -235,6 +235,9 @@
 	c.Set(Mute)
 	owners = append(owners, young0)
 	for keep := range 8 {
+		// What goes does so once all that was read of it is in.
+		l.After(0, func() {})
+		await(l, "those that go", func() bool { s.Spare(keep); return len(s.parting) == 0 })
 		fmt.Print(s.Spare(keep), " ", s.Used())
 		for i, o := range owners {
 			if len(o.seen) > 1 {
--- a/internal/life/life.go
+++ b/internal/life/life.go
@@ -2,7 +2,10 @@
 // operators, the door for clients, and the stop. It has neither clock nor I/O: what has happened is told with its time.
 package life
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // State is where in its life a process is.
 type State uint8
@@ -31,9 +34,11 @@
 	drainSweep = 3400 * time.Millisecond
 	// passFor is how long connections may be passed on before those that are left close: all of them go in a few moments,
 	// unless the successor will not have them.
-	passFor   = time.Second
-	leaveMost = 3200 * time.Millisecond // no kill comes before 3.7 s
-	// leaveMargin is between the last answers and our end.
+	passFor = time.Second
+	// The kill comes no sooner than the longest that a client waits, of which longMost counts, and 0.7 s: what is owed is
+	// given up leaveAfter past that wait, and half a second is left for the answers to go out and for us to end.
+	longMost, leaveAfter = 3 * time.Second, 200 * time.Millisecond
+	// leaveMargin is between the last answers and our end, and between the end of idle connections and the last answers.
 	leaveMargin = 200 * time.Millisecond
 )
 
@@ -111,12 +116,13 @@
 	}
 }
 
-// Stop is the order to end; longest is the longest that a client waits. A second order changes nothing.
+// Stop is the order to end; longest is the longest that a client waits, 0 where neither settings nor clients have told. A
+// second order changes nothing.
 func (c *Cycle) Stop(now, longest time.Duration) {
 	if c.state >= HandingOver {
 		return
 	}
-	c.last = now + min(max(longest, shutAfter), leaveMost)
+	c.last = now + min(cmp.Or(longest, shutAfter-leaveAfter), longMost) + leaveAfter
 	switch {
 	case c.successor:
 		c.shutAt = now + passFor
@@ -125,6 +131,7 @@
 	default:
 		c.shutAt = now + shutAfter
 	}
+	c.shutAt = min(c.shutAt, c.last-leaveMargin)
 	if c.successor {
 		c.enter(HandingOver, now)
 	} else {
--- a/internal/life/life_test.go
+++ b/internal/life/life_test.go
@@ -100,17 +100,58 @@
 	//  5.4s stopping: hears, shuts, leaves, gives up, over
 	//  1.5s stopping: hears, takes
 	//    2s stopping: hears, takes, shuts, leaves
-	//    3s stopping: hears, shuts, leaves, gives up
-	//  3.2s stopping: hears, shuts, leaves, gives up, over
+	//  2.7s stopping: hears, shuts, leaves, gives up
+	//  2.9s stopping: hears, shuts, leaves, gives up, over
 	//    1s handing over: yes, takes, passes on, keeps news, leaves
 	//    2s handing over: yes, takes, shuts, passes on, keeps news, leaves
-	//    3s handing over: yes, shuts, keeps news, leaves, gives up
-	//  3.2s handing over: yes, shuts, keeps news, leaves, gives up, over
+	//  3.2s handing over: yes, shuts, keeps news, leaves, gives up
+	//  3.4s handing over: yes, shuts, keeps news, leaves, gives up, over
 	//  1.5s stopping: hears, takes
 	//    2s stopping: hears, takes, shuts, leaves
-	//    3s stopping: hears, shuts, leaves, gives up
-	//  3.2s stopping: hears, shuts, leaves, gives up, over
+	//  3.2s stopping: hears, shuts, leaves, gives up
+	//  3.4s stopping: hears, shuts, leaves, gives up, over
 	//    2s handing over: yes, takes, shuts, passes on, keeps news, leaves
-	//    3s handing over: yes, shuts, keeps news, leaves, gives up
-	//  3.2s handing over: yes, shuts, keeps news, leaves, gives up, over
+	//  3.2s handing over: yes, shuts, keeps news, leaves, gives up
+	//  3.4s handing over: yes, shuts, keeps news, leaves, gives up, over
+}
+
+// However short its clients wait, all is over before the kill, 0.7 s after the longest of them, in a drain too. Where nobody
+// has told how long that is, there is nobody to be answered late.
+func ExampleCycle_Stop_short() {
+	for _, longest := range []time.Duration{0, 450 * time.Millisecond, 900 * time.Millisecond, 2 * time.Second} {
+		var c Cycle
+		c.Knows(0)
+		c.Stop(time.Second, longest)
+		fmt.Println("clients wait for", longest, "and the kill comes after", time.Second+longest+700*time.Millisecond)
+		trace(&c, time.Second)
+	}
+	var c Cycle
+	c.Standby(time.Second)
+	c.Stop(time.Second, 300*time.Millisecond)
+	trace(&c, time.Second)
+	// Output:
+	// clients wait for 0s and the kill comes after 1.7s
+	//    1s stopping: hears, takes
+	//  2.3s stopping: hears, takes, shuts, leaves
+	//  2.5s stopping: hears, shuts, leaves, gives up
+	//  2.7s stopping: hears, shuts, leaves, gives up, over
+	// clients wait for 450ms and the kill comes after 2.15s
+	//    1s stopping: hears, takes
+	// 1.45s stopping: hears, takes, shuts, leaves
+	// 1.65s stopping: hears, shuts, leaves, gives up
+	// 1.85s stopping: hears, shuts, leaves, gives up, over
+	// clients wait for 900ms and the kill comes after 2.6s
+	//    1s stopping: hears, takes
+	//  1.9s stopping: hears, takes, shuts, leaves
+	//  2.1s stopping: hears, shuts, leaves, gives up
+	//  2.3s stopping: hears, shuts, leaves, gives up, over
+	// clients wait for 2s and the kill comes after 3.7s
+	//    1s stopping: hears, takes
+	//  2.5s stopping: hears, takes, shuts, leaves
+	//  3.2s stopping: hears, shuts, leaves, gives up
+	//  3.4s stopping: hears, shuts, leaves, gives up, over
+	//    1s stopping: hears, takes
+	//  1.3s stopping: hears, takes, shuts, leaves
+	//  1.5s stopping: hears, shuts, leaves, gives up
+	//  1.7s stopping: hears, shuts, leaves, gives up, over
 }
--- a/internal/workers/line.go
+++ b/internal/workers/line.go
@@ -122,7 +122,7 @@
 		return
 	}
 	w.idle = append(w.idle, l)
-	l.c.Set(conn.Idle)
+	l.c.Set(conn.Done) // whatever comes over it is no answer
 	l.kept, l.parked = true, f.loop.Now()
 	l.expiry = f.loop.After(f.keeps(), func() {
 		w.forget(l)
