The watch of the list: indented lists, endless bytes, a second silence, the return of a pushed list

Read: watch.take cut the answer into lines, so an indented list failed the watch, and the next, for ever. Any byte kept a watch alive (watch.Read), also of a head, a list or a chunk's frame that never ends. A second watch as silent as the first was waited for 3.2 s twice, past the 6 s after which changes count as told. Between watches of a pushed list up to 2 s passed, longer than the grace for drains (service.told).

Change: lists are gathered by their braces (value); only what is whole shows life; the one watch that follows a silent one has 1.5 s for its first word; the pause keeps to half of StopSendingWithin, which is read now. The wait is short but once, as discovery takes calls in turn.

--- /dev/null
+++ b/cmd/stoatweir/pause_test.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"stoatweir/internal/settings"
+)
+
+// What is pushed when whoever carries the list is back counts as told at once: the next watch stands well inside the grace.
+func Example_pause() {
+	for _, grace := range []time.Duration{0, 20 * time.Millisecond, 500 * time.Millisecond, 30 * time.Second} {
+		s := &service{site: settings.Site{Grace: grace}, chance: rand.New(rand.NewPCG(1, 2))}
+		fmt.Print(grace, ":")
+		for s.unlisted = range 12 {
+			most := time.Duration(0)
+			for range 200 {
+				most = max(most, s.pause())
+			}
+			if s.unlisted%3 == 0 {
+				fmt.Print(" ", most.Round(50*time.Millisecond))
+			}
+		}
+		fmt.Println()
+	}
+	// Output:
+	// 0s: 250ms 2s 2s 2s
+	// 20ms: 50ms 50ms 50ms 50ms
+	// 500ms: 250ms 250ms 250ms 250ms
+	// 30s: 250ms 2s 2s 2s
+}
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -35,8 +35,9 @@
 	// watch that has failed must stand again, however long the settings allow not to ask.
 	toldWithin = 5 * time.Second
 	againAfter = 20 * time.Millisecond
-	// Between watches of a pushed list that fail in a row; inside toldWithin, with what a call may take.
-	pushedFirst, pushedMost = 250 * time.Millisecond, 2 * time.Second
+	// Between watches of a pushed list that fail in a row; inside toldWithin, with what a call may take, and inside the grace
+	// that the settings give: what is pushed at the return of whoever carries the list counts as told at once.
+	pushedFirst, pushedMost, pushedLeast = 250 * time.Millisecond, 2 * time.Second, 50 * time.Millisecond
 	// publishAfter is how old the figures that operators see may be, at most, while something happens.
 	publishAfter = 100 * time.Millisecond
 	leaveLook    = 10 * time.Millisecond
@@ -202,14 +203,22 @@
 		s.loop.After(s.settling(), s.study)
 		s.unlisted = 0
 	} else if s.site.Deployment.Pushed {
-		// The module does not ask where changes come unasked. A pool must not come back to its list all at once.
-		wait := min(pushedFirst<<min(s.unlisted, 8), pushedMost)
+		s.loop.After(s.pause(), s.list.Watch) // the module does not ask where changes come unasked
 		s.unlisted++
-		s.loop.After(wait/2+time.Duration(s.chance.Int64N(int64(wait/2))), s.list.Watch)
 	}
 	s.events = append(s.events, list.Listing())
 }
 
+// pause is how long the next watch of a pushed list waits. A pool must not come back to its list all at once.
+func (s *service) pause() time.Duration {
+	most := pushedMost
+	if s.site.Grace > 0 {
+		most = min(most, max(s.site.Grace/2, pushedLeast))
+	}
+	wait := min(pushedFirst<<min(s.unlisted, 8), most)
+	return wait/2 + time.Duration(s.chance.Int64N(int64(wait/2)))
+}
+
 // decide asks the module for as long as something has happened; what it orders can make things happen.
 func (s *service) decide() {
 	if s.node.Admin != "" && s.publishing == nil && (len(s.events) > 0 || s.book.Changes != s.published) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -2,7 +2,6 @@
 package discovery
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -18,10 +17,12 @@
 
 const (
 	// An empty line comes every 2 s, and what there is to tell counts as told 6 s after it happened: a watch that
-	// says nothing for this long has to be given up in time for another one to bring it.
+	// says nothing whole for this long has to be given up in time for another one to bring it, and a third where that is as
+	// silent.
 	silence   = 3200 * time.Millisecond
+	nextWord  = 1500 * time.Millisecond // of the one that follows one that fell silent
 	connectIn = time.Second
-	maxLine   = 1 << 20 // of a watch, whatever the peer sends
+	maxValue  = 1 << 20 // of a watch, whatever the peer sends
 
 	// What there is to tell counts as told 4 s after the order to move: there is time for more than one try, each short.
 	moveFirst, moveMost = 50 * time.Millisecond, 500 * time.Millisecond // between tries to reach the new address
@@ -67,6 +68,7 @@
 	taken         map[dispatch.WorkerID]bool
 	present, next *watch // nil: none
 	tries         int    // to reach the address that the watch moves to
+	mute          bool   // the last one had told something and fell silent
 	moving        bool
 	retry         *conn.Alarm
 }
@@ -77,7 +79,7 @@
 	c      *conn.Conn
 	addr   string
 	parser http1.Parser
-	line   []byte
+	value  value
 	rev    uint64 // asked for
 	stands bool   // it has told something
 	quiet  *conn.Alarm
@@ -207,7 +209,12 @@
 		return
 	}
 	w.present.drop()
-	w.present = w.begin(w.rev, silence)
+	word := silence
+	if w.mute {
+		word = nextWord // but once: discovery takes calls in turn, and where it has many none would come to its turn
+	}
+	w.mute = false
+	w.present = w.begin(w.rev, word)
 }
 
 // Move takes the watch to another address. Versions there may be another count, so the whole list is asked for.
@@ -243,7 +250,10 @@
 	}
 }
 
-func (n *watch) silent() { n.fail(errors.New("it is silent")) }
+func (n *watch) silent() {
+	n.mute = n.stands
+	n.fail(errors.New("it is silent"))
+}
 
 func (n *watch) fail(why error) {
 	n.drop()
@@ -289,16 +299,17 @@
 	}
 }
 
-// Read takes the lines in. Any byte, also of an empty line, shows that the watch is alive.
+// Read takes the answer in. Only what is whole shows that the watch is alive: a head, a list, an empty line. Bytes that never
+// come to an end would have it stand for good, and tell nothing.
 func (n *watch) Read(c *conn.Conn) {
-	n.quiet.Stop()
-	n.quiet = n.loop.After(silence, n.silent)
 	for c == n.c && c.In.Len() > 0 {
 		used, step, err := n.parser.Feed(c.In.Bytes())
 		switch {
 		case err != nil:
 		case step == http1.Head && n.parser.Message.Status != 200:
 			err = fmt.Errorf("status %d", n.parser.Message.Status)
+		case step == http1.Head:
+			n.alive()
 		case step == http1.Piece:
 			err = n.take(n.parser.Piece)
 		case step == http1.Whole:
@@ -314,37 +325,51 @@
 	}
 }
 
+func (n *watch) alive() {
+	n.quiet.Stop()
+	n.quiet = n.loop.After(silence, n.silent)
+}
+
 func (n *watch) take(piece []byte) error {
-	if n.line = append(n.line, piece...); len(n.line) > maxLine {
-		return errors.New("a line is too long")
-	}
-	for n.c != nil {
-		line, rest, found := bytes.Cut(n.line, []byte("\n"))
-		if !found {
-			return nil
-		}
-		n.line = rest
-		if len(bytes.TrimSpace(line)) == 0 {
+	for n.c != nil && len(piece) > 0 {
+		used, step := n.value.feed(piece)
+		piece = piece[used:]
+		switch step {
+		case more:
+			if len(n.value.text) > maxValue {
+				return errors.New("a list is too long")
+			}
+		case empty:
 			// Nothing has changed since the version we know. Whoever follows is told once: without a word it would
 			// take the watch for one that never came, and begin another. A next one that has no list yet replaces
 			// none that still tells.
+			n.alive()
 			if !n.stands && (n == n.present || n.present == nil) {
 				n.told(List{Form: dispatch.ListDelta})
 			}
-			continue
-		}
-		before := n.Watcher.rev
-		list, err := n.Parse(line)
-		if now := n.Watcher.rev; err == nil && n != n.next && list.Form == dispatch.ListDelta && now < before {
-			// Whoever tells this knows less than we do: its changes could bring back a worker that has gone.
-			err = fmt.Errorf("changes go back from version %d to %d", before, now)
-		}
-		if err != nil {
-			// The next watch is to bring the whole list: from here on changes would apply to an unknown one.
-			n.Watcher.rev = 0
-			return err
+		case complete:
+			n.alive()
+			if err := n.list(); err != nil {
+				// The next watch is to bring the whole list: from here on changes would apply to an unknown one.
+				n.Watcher.rev = 0
+				return err
+			}
 		}
-		n.told(list)
 	}
 	return nil
 }
+
+func (n *watch) list() error {
+	before := n.Watcher.rev
+	list, err := n.Parse(n.value.text)
+	n.value.text = n.value.text[:0]
+	if err != nil {
+		return err
+	}
+	if now := n.Watcher.rev; n != n.next && list.Form == dispatch.ListDelta && now < before {
+		// Whoever tells this knows less than we do: its changes could bring back a worker that has gone.
+		return fmt.Errorf("changes go back from version %d to %d", before, now)
+	}
+	n.told(list)
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,7 @@
 	ConnIdle, ConnTimeout             time.Duration
 	Timeouts                          []time.Duration // of the operations' clients; 0: not told
 	LongestTimeout                    time.Duration
+	Grace                             time.Duration // until nothing more may go to a worker that is told to drain; 0: not told
 	Shape                             Shape
 	worstTenant                       float64
 	discovery                         string
@@ -69,7 +70,7 @@
 	}
 	ResultMix struct{ Whole, WorstClass, WorstTenant float64 }
 	Rules     struct {
-		AskWithin, ColdFrom, Fall, FallMultiple, WarmAfter float64
+		AskWithin, ColdFrom, Fall, FallMultiple, StopSendingWithin, WarmAfter float64
 	}
 	Tenants []struct {
 		Name                string
@@ -180,6 +181,7 @@
 		s.Report.name(in.Report.Names, map[string]string{"x0": in.FamilyInfo.ReportX0, "x1": in.FamilyInfo.ReportX1})
 	}
 	s.Zones, s.Kinds = in.Dcs, in.Kinds
+	s.Grace = max(0, Span(in.Rules.StopSendingWithin))
 	s.ConnIdle = Span(cmp.Or(in.Limits.ConnIdle, 60))
 	s.ConnTimeout = Span(cmp.Or(in.Limits.ConnectTimeout, 1))
 	return s, nil
