Hand-overs that are given up end for both, clients that leave during one are seen; names and windows

Read for crossings, each confirmed by a test on the code before:

- Parcel.Lost: a successor that hangs for a second with a connection on its way is given up and the elder answers, but the successor had the socket still and could take it in later: a second answer, and work sent on after the final one.
The connection ends for both (Conn.Sever).
- A client that leaves while its connection is on its way was seen only after the module had its invocation back, and could be sent on up to a second late (Parcel.Back, Door.Inherit).
- A process with another name, at the same address in the same temporary folder, was given our socket, half of our descriptors and memory and what we had learned.
It is sent away and says why (handover.Foreign).
An older version does not say its name and is taken as before.
- A class whose name needs escaping in a path could not be asked for: 400 (visit.invocation, target).
- A repeat of deduplicated work decided on just inside its window was written once its connection stood, up to the connect time later and outside the window.
The window is shorter by that (settings).
Example_site expects 6.5 s for 7.5 with the default second.
- Interim answers without end were read for as long as the forward had (http1).

Not found: news for whoever has just given work away (Fleet.Give and the relay), lessons of other operations (by name), a post left by a dead process (ErrNobody).

--- a/cmd/stoatweir/crossings_test.go
+++ b/cmd/stoatweir/crossings_test.go
@@ -139,3 +139,30 @@
 	p.Process.Signal(syscall.SIGTERM)
 	r.end(p, 6*time.Second)
 }
+
+// A process of another name that is started at our address gets neither our socket nor what we have, and says why it ends.
+func TestForeignSuccessor(t *testing.T) {
+	r := newRig(t, 1, 10*time.Millisecond)
+	p := r.start()
+	r.ready(p)
+	r.config["name"] = "n1"
+	r.write()
+	other := r.start()
+	select {
+	case <-other.ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("it does not end")
+	}
+	if text, _ := os.ReadFile(other.log); other.err == nil || !strings.Contains(string(text), handover.Foreign) {
+		t.Errorf("%v\n%s", other.err, text)
+	}
+	kept := &keptConn{addr: r.listen}
+	defer kept.close()
+	for n := range 20 {
+		if status, body := kept.ask(post("/render/k", fmt.Sprintf("X-Call-Id: a%d\r\nX-Call-Class: render\r\nX-Budget: 10\r\n", n), "")); status != 200 {
+			t.Error(status, body)
+		}
+		kept.close()
+	}
+	r.check()
+}
--- a/cmd/stoatweir/successor.go
+++ b/cmd/stoatweir/successor.go
@@ -49,12 +49,12 @@
 func arrive(node settings.Node, dir string, log *logrus.Entry, told func() bool) (at address, err error) {
 	var why error
 	if at.place, why = handover.Place(dir, node.Listen); why == nil {
-		at.link, at.welcome, at.listener, why = handover.Find(at.place, node.Listen)
+		at.link, at.welcome, at.listener, why = handover.Find(at.place, node.Listen, node.Name)
 		for began := time.Now(); errors.Is(why, handover.ErrBusy) && time.Since(began) < turnIn; {
 			if time.Sleep(turnAgain); told() {
 				return at, errTold
 			}
-			at.link, at.welcome, at.listener, why = handover.Find(at.place, node.Listen)
+			at.link, at.welcome, at.listener, why = handover.Find(at.place, node.Listen, node.Name)
 		}
 	}
 	switch {
@@ -62,7 +62,7 @@
 		log.Info("another process serves at ", node.Listen, ": it is to be replaced")
 		at.shared = true
 		return at, nil
-	case errors.Is(why, handover.ErrBusy):
+	case errors.Is(why, handover.ErrBusy), errors.Is(why, handover.ErrForeign):
 		return at, why
 	}
 	addr, err := netip.ParseAddrPort(node.Listen)
@@ -158,6 +158,11 @@
 // Take gives a newcomer our socket and half of what we have.
 func (n came) Take() {
 	s := n.service
+	if n.Name != "" && n.Name != s.node.Name {
+		s.log.Warn("a process named ", n.Name, " wants our address, and is sent away")
+		go n.Refuse(handover.Foreign)
+		return
+	}
 	if s.bond != nil || n.Listen != s.node.Listen {
 		go n.Refuse(handover.Busy)
 		return
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
@@ -552,6 +553,9 @@
 func (v *visit) invocation(m *http1.Message, path string) {
 	d := v.door
 	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	if plain, err := url.PathUnescape(first); err == nil {
+		first = plain // a name may need escaping there
+	}
 	name := m.Header.Get("X-Call-Class")
 	if name == "" {
 		name = first
@@ -642,14 +646,19 @@
 // target tells whether a worker will read the same in it as we do.
 func target(text, path string) bool {
 	plain, err := url.PathUnescape(path)
-	if err != nil || len(text) > maxTarget || strings.ContainsAny(text, "#\\\"<>") {
+	if err != nil || len(text) > maxTarget || strings.ContainsAny(text, "#\\\"<>") || !utf8.ValidString(plain) {
 		return false
 	}
-	for _, c := range text + plain {
+	for _, c := range text {
 		if c <= ' ' || c >= 0x7f {
 			return false
 		}
 	}
+	for _, c := range plain {
+		if c < ' ' || c == 0x7f {
+			return false
+		}
+	}
 	for part := range strings.SplitSeq(plain[1:], "/") {
 		if part == "" || part == "." || part == ".." {
 			return false
--- a/internal/clients/crossings_test.go
+++ b/internal/clients/crossings_test.go
@@ -1,13 +1,22 @@
 package clients
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
+	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
+	"stoatweir/internal/settings"
+	"stoatweir/internal/workers"
 )
 
 // A request whose bytes have been read, and wait in the loop's inbox, is served, whatever ends idle connections at that
@@ -131,3 +140,128 @@
 	// in hand: 0 closed at once: false
 	// nobody comes in: true 0
 }
+
+// pass has a connection with a job on its way to another process, which has the socket too.
+func pass(l *conn.Loop, d *Door, addr string) (c net.Conn, p *Parcel, other net.Conn) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		panic(err)
+	}
+	c.Write([]byte(job))
+	until(l, "the job", func() bool { return d.InHand() == 1 })
+	d.Offer(func(dispatch.InvID) bool { return true }, func(given *Parcel) { p = given })
+	l.After(0, func() {})
+	until(l, "the parcel", func() bool { return p != nil })
+	raw, err := p.Socket.SyscallConn()
+	if err != nil {
+		panic(err)
+	}
+	raw.Control(func(fd uintptr) {
+		twin, err := unix.Dup(int(fd))
+		if err != nil {
+			panic(err)
+		}
+		f := os.NewFile(uintptr(twin), "twin")
+		if other, err = net.FileConn(f); err != nil {
+			panic(err)
+		}
+		f.Close()
+	})
+	return c, p, other
+}
+
+// The other process hangs with a connection on its way, is given up, and goes on: there is one answer, and nothing is left of
+// the connection that it could serve.
+func Example_givenUpPass() {
+	l, d, addr, shut := open(10)
+	defer shut()
+	c, p, other := pass(l, d, addr)
+	answer := make(chan string, 1)
+	go func() {
+		b, err := io.ReadAll(c)
+		answer <- fmt.Sprintf("%.50q %v", b, err)
+	}()
+	p.Lost()
+	l.After(0, func() {})
+	got := ""
+	until(l, "the answer", func() bool {
+		l.After(time.Millisecond, func() {})
+		select {
+		case got = <-answer:
+		default:
+		}
+		return got != ""
+	})
+	fmt.Println(got)
+	n, err := other.Read(make([]byte, 10))
+	fmt.Println("the other one reads:", n, err)
+	_, err = other.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+	fmt.Println("and writes:", errors.Is(err, syscall.EPIPE))
+	_, kept := d.Inherit(other, Parcel{}, &workers.Invocation{ID: "9b1f", GivenUp: time.Second}, 0, 0)
+	fmt.Println("and takes it in:", kept, d.InHand())
+	// Output:
+	// job 9b1f POST /render/7f3a?x=1 [{X-Call-Id 9b1f}] body
+	// inv 1: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
+	// "HTTP/1.1 500 Internal Server Error\r\nConnection: cl" <nil>
+	// the other one reads: 0 EOF
+	// and writes: true
+	// and takes it in: false 0
+}
+
+// A client that leaves during a pass is gone wherever that ends: its invocation could be sent on before its end is read.
+func Example_leavesInPass() {
+	l, d, addr, shut := open(10)
+	defer shut()
+	c, p, other := pass(l, d, addr)
+	c.Close()
+	_, kept := d.Inherit(other, Parcel{}, &workers.Invocation{ID: "9b1f", GivenUp: time.Second}, 0, 0)
+	fmt.Println("the other one keeps it:", kept)
+	p.Back()
+	fmt.Println("in hand:", d.InHand(), len(d.visits))
+	// Output:
+	// job 9b1f POST /render/7f3a?x=1 [{X-Call-Id 9b1f}] body
+	// inv 1: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
+	// the other one keeps it: false
+	// dispatch.Withdrawn{Inv:1}
+	// in hand: 0 0
+}
+
+// Names that are prefixes of others, or need escaping in a path: each is its own operation, by its whole name.
+func Example_names() {
+	l, d, addr, shut := open(10)
+	defer shut()
+	site, err := settings.ParseSite([]byte(`{"Operations": [{"Name": "gate", "Effect": "read_like"}, {"Name": "gate 7", "Effect": "read_like"},
+		{"Name": "gate 7/é", "Effect": "read_like"}, {"Name": "gate%207", "Effect": "read_like"}]}`))
+	if err != nil {
+		panic(err)
+	}
+	d.Retune(site)
+	take := d.Event
+	d.Event = func(e dispatch.Event) {
+		take(e)
+		if a, is := e.(dispatch.Arrival); is {
+			d.Throttle(a.Inv, 0)
+		}
+	}
+	for n, names := range [][2]string{{"gate", "gate"}, {"gate 7", "gate%207"}, {"gate 7/é", "gate%207%2F%C3%A9"}, {"gate%207", "gate%25207"},
+		{"gate", "gate%207"}, {"gate 7", "gate"}, {"gate 7", "gate%20%00"}} {
+		ask(l, addr, strings.NewReplacer("Class: render", "Class: "+names[0], "/render/", "/"+names[1]+"/", "9b1f", fmt.Sprint("id", n),
+			"X-Caller: oak", "Connection: close").Replace(job))
+	}
+	// Output:
+	// job id0 POST /gate/7f3a?x=1 [{X-Call-Id id0}] body
+	// inv 1: operation 0 tenant 0 slots 2 hint 0.25 budget 2.5s
+	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// job id1 POST /gate%207/7f3a?x=1 [{X-Call-Id id1}] body
+	// inv 2: operation 1 tenant 0 slots 2 hint 0.25 budget 2.5s
+	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// job id2 POST /gate%207%2F%C3%A9/7f3a?x=1 [{X-Call-Id id2}] body
+	// inv 3: operation 2 tenant 0 slots 2 hint 0.25 budget 2.5s
+	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// job id3 POST /gate%25207/7f3a?x=1 [{X-Call-Id id3}] body
+	// inv 4: operation 3 tenant 0 slots 2 hint 0.25 budget 2.5s
+	// "503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// "400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+}
--- a/internal/clients/pass.go
+++ b/internal/clients/pass.go
@@ -101,16 +101,29 @@
 		d.watch(p.Inv, p.job)
 	}
 	v.c.In.Write(p.Read)
+	if v.c.Left() { // while it was on the way; what waits on it must not be sent on before that is read
+		v.c.Close()
+		v.Down(v.c, conn.Closed)
+		return
+	}
 	v.c.Attach()
 	v.Read(v.c)
 }
 
-// Lost: the other process has died with it on the way, and may have sent it on.
+// Lost: the other process has died with it on the way, and may have sent it on; or it hangs, and may still find the
+// connection. It ends here for both, so that nobody answers twice and nothing more is sent on.
 func (p *Parcel) Lost() {
+	v := p.visit
 	p.Back()
-	if p.job != nil {
-		p.visit.door.Fail(p.Inv)
+	if _, stays := v.door.visits[v]; !stays {
+		return
+	}
+	if v.last = true; v.inv != 0 {
+		v.door.Fail(v.inv)
+	} else {
+		v.quit()
 	}
+	v.c.Sever()
 }
 
 // Inherit takes a connection of another process in, with the invocation that waits on it, if any; inv is its name here. False:
@@ -118,7 +131,7 @@
 func (d *Door) Inherit(nc net.Conn, p Parcel, j *workers.Invocation, operation int, age time.Duration) (inv dispatch.InvID,
 	kept bool) {
 	m := d.Manner()
-	if !m.Takes || m.Shuts && j == nil || j != nil && len(d.inHand) >= d.most || !d.share.Spare(0) {
+	if !m.Takes || m.Shuts && j == nil || j != nil && len(d.inHand) >= d.most || conn.Left(nc) || !d.share.Spare(0) {
 		return 0, false
 	}
 	var seat *tenants.Seat
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -287,16 +287,18 @@
 }
 
 // Left tells whether the peer has closed its side, also where that has not been read yet.
-func (c *Conn) Left() bool {
-	socket, is := c.Socket()
+func (c *Conn) Left() bool { return c.ended || Left(c.net) }
+
+// Left tells the same of a connection that nobody drives yet.
+func Left(nc net.Conn) (left bool) {
+	socket, is := nc.(syscall.Conn)
 	if !is {
-		return c.ended
+		return false
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
-	left := false
 	raw.Control(func(fd uintptr) {
 		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		left = n == 0 && err == nil || errors.Is(err, unix.ECONNRESET)
@@ -304,6 +306,13 @@
 	return left
 }
 
+// Sever ends the reading for all processes that have the socket: none may go on where another has given up.
+func (c *Conn) Sever() {
+	if tcp, is := c.net.(*net.TCPConn); is {
+		tcp.CloseRead()
+	}
+}
+
 // Quit ends the connection once all is written, so that the peer gets it whole; the owner hears no more of it.
 func (c *Conn) Quit() {
 	if c.ended || c.quits {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -82,7 +82,7 @@
 				t.Fatal(err)
 			}
 			keep(t, place, old)
-			link, m, l, err := Find(place, addr)
+			link, m, l, err := Find(place, addr, "n0")
 			if err != nil || m.Sockets != 100 {
 				t.Fatal(m, err)
 			}
@@ -133,7 +133,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, _, _, err := Find(place, "127.0.0.1:1"); !errors.Is(err, ErrNobody) {
+	if _, _, _, err := Find(place, "127.0.0.1:1", "n0"); !errors.Is(err, ErrNobody) {
 		t.Error("nobody:", err)
 	}
 	dead, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: place, Net: "unixpacket"})
@@ -142,7 +142,7 @@
 	}
 	dead.SetUnlinkOnClose(false)
 	dead.Close()
-	if _, _, _, err := Find(place, "127.0.0.1:1"); !errors.Is(err, ErrNobody) {
+	if _, _, _, err := Find(place, "127.0.0.1:1", "n0"); !errors.Is(err, ErrNobody) {
 		t.Error("a file of the dead:", err)
 	}
 	os.Remove(place)
@@ -179,7 +179,7 @@
 		"a packet without a head":           func(l *Link) { l.c.Write([]byte("{}")) },
 		"the socket that came listens at":   func(l *Link) { welcome(t, l) },
 	} {
-		if link, _, _, err := Find(peer(answer), "127.0.0.1:1"); err == nil || !strings.Contains(err.Error(), what) {
+		if link, _, _, err := Find(peer(answer), "127.0.0.1:1", "n0"); err == nil || !strings.Contains(err.Error(), what) {
 			t.Error("wanted", what, "got", err, link)
 		}
 	}
@@ -215,7 +215,7 @@
 	dial() // silent
 	var err error
 	for began := time.Now(); time.Since(began) < 3*time.Second; {
-		if _, _, _, err = Find(place, l.Addr().String()); err == nil {
+		if _, _, _, err = Find(place, l.Addr().String(), "n0"); err == nil {
 			break
 		}
 	}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -41,6 +41,7 @@
 	Kind     Kind
 	Version  int      `json:",omitempty"`
 	Listen   string   `json:",omitempty"` // hello: the address to be taken over
+	Name     string   `json:",omitempty"` // hello: whose; an older version does not say
 	Sockets  int      `json:",omitempty"` // welcome: the newcomer's part while both live
 	MemoryMB int      `json:",omitempty"` // likewise
 	Why      string   `json:",omitempty"`
--- a/internal/handover/place.go
+++ b/internal/handover/place.go
@@ -26,6 +26,12 @@
 // ErrBusy: that was the answer.
 var ErrBusy = errors.New(Busy)
 
+// Foreign is why a newcomer is refused that has another name: it would take over what is somebody else's.
+const Foreign = "another scheduler serves there"
+
+// ErrForeign: that was the answer.
+var ErrForeign = errors.New(Foreign)
+
 // Place is where processes that serve at an address find each other, in a directory that they share.
 func Place(dir, listen string) (string, error) {
 	h := fnv.New64a()
@@ -39,7 +45,7 @@
 
 // Find asks the process at a place for its listening socket. The error is ErrNobody where none lives there, also where
 // one has left its file.
-func Find(place, listen string) (*Link, Message, net.Listener, error) {
+func Find(place, listen, name string) (*Link, Message, net.Listener, error) {
 	nc, err := net.DialTimeout("unixpacket", place, helloIn)
 	switch {
 	case errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED):
@@ -48,7 +54,7 @@
 		return nil, Message{}, nil, err
 	}
 	l := newLink(nc.(*net.UnixConn))
-	m, listener, err := l.hello(listen)
+	m, listener, err := l.hello(listen, name)
 	if err != nil {
 		l.Close()
 		return nil, m, nil, err
@@ -56,12 +62,12 @@
 	return l, m, listener, nil
 }
 
-func (l *Link) hello(listen string) (m Message, listener net.Listener, err error) {
+func (l *Link) hello(listen, name string) (m Message, listener net.Listener, err error) {
 	if err := ours(l.c); err != nil {
 		return m, nil, err
 	}
 	l.c.SetReadDeadline(time.Now().Add(helloIn))
-	if err := l.write(Message{Kind: Hello, Version: Version, Listen: listen}, -1); err != nil {
+	if err := l.write(Message{Kind: Hello, Version: Version, Listen: listen, Name: name}, -1); err != nil {
 		return m, nil, err
 	}
 	m, file, err := l.read()
@@ -73,6 +79,8 @@
 		return m, nil, err
 	case m.Kind == Refused && m.Why == Busy:
 		return m, nil, ErrBusy
+	case m.Kind == Refused && m.Why == Foreign:
+		return m, nil, ErrForeign
 	case m.Kind == Refused:
 		return m, nil, fmt.Errorf("refused: %s", m.Why)
 	case m.Kind != Welcome || m.Version != Version:
@@ -148,8 +156,8 @@
 
 // Newcomer is a process that wants to replace us and has said so in words that we know.
 type Newcomer struct {
-	link   *Link
-	Listen string
+	link         *Link
+	Listen, Name string
 }
 
 func greet(c *net.UnixConn) (*Newcomer, error) {
@@ -166,7 +174,7 @@
 		err = fmt.Errorf("%q of version %d, not %d", m.Kind, m.Version, Version)
 		l.write(Message{Kind: Refused, Version: Version, Why: err.Error()}, -1)
 	}
-	return &Newcomer{l, m.Listen}, err
+	return &Newcomer{l, m.Listen, m.Name}, err
 }
 
 // Refuse sends it away.
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -186,3 +186,27 @@
 		}
 	}
 }
+
+// Interim answers without end never come to the real one; a few are passed over, also before the next answer.
+func Example_interim() {
+	feed := func(n int) {
+		p := Parser{Answers: true}
+		text := strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", n) + "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+		for rest := []byte(text + text); len(rest) > 0; {
+			used, step, err := p.Feed(rest)
+			if err != nil {
+				fmt.Println(n, err)
+				return
+			}
+			if rest = rest[used:]; step == Whole {
+				fmt.Println(n, p.Message.Status)
+			}
+		}
+	}
+	feed(maxInterim)
+	feed(maxInterim + 1)
+	// Output:
+	// 8 202
+	// 8 202
+	// 9 more than 8 interim answers
+}
--- a/internal/http1/parser.go
+++ b/internal/http1/parser.go
@@ -14,6 +14,7 @@
 const (
 	MaxHead, MaxBody  = 16 << 10, 64 << 10
 	maxLine, maxTrail = 256, 4 << 10 // of a chunk's size, and of what follows the last chunk
+	maxInterim        = 8            // answers of a peer that would never come to the real one
 )
 
 // Bad is a message that can't be read on; Status is what a server answers to it.
@@ -71,6 +72,8 @@
 	head  []byte
 	left  int
 	asked bool
+
+	interim int
 }
 
 // Started tells whether a message has begun and is not whole.
@@ -240,6 +243,9 @@
 	case len(lengths) > 1 || len(codings) > 1 || len(lengths) > 0 && len(codings) > 0:
 		return bad(400, "more than one length")
 	case p.Answers && m.Status < 200: // an interim answer: the real one follows
+		if p.interim++; p.interim > maxInterim {
+			return bad(502, "more than %d interim answers", maxInterim)
+		}
 		p.state, p.head = inHead, nil
 		return nil
 	case p.Answers && (m.Status == 204 || m.Status == 304):
@@ -265,7 +271,7 @@
 	default:
 		p.state = whole
 	}
-	p.Message, p.head, p.asked = m, p.head[:0], false
+	p.Message, p.head, p.asked, p.interim = m, p.head[:0], false, 0
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -139,6 +139,7 @@
 	if in.ResultMix.Whole > 0 {
 		d.WorstOperation = in.ResultMix.WorstClass / in.ResultMix.Whole
 	}
+	s.ConnTimeout = Span(cmp.Or(in.Limits.ConnectTimeout, 1))
 	s.Current = map[string]int{}
 	for i, o := range in.Operations {
 		if _, twice := s.Current[o.Name]; twice && o.Name != "" {
@@ -152,7 +153,8 @@
 		}
 		op := dispatch.Operation{
 			BilledValue: o.BilledValue, LateValue: o.LateBilledValue, LatencyObjective: Span(o.LatencyObjective),
-			Stretch: o.AimStretch, DedupWindow: Span(o.DedupWindow),
+			// A repeat is decided on before its connection stands, and counts as sent once it has gone out.
+			Stretch: o.AimStretch, DedupWindow: max(0, Span(o.DedupWindow)-s.ConnTimeout),
 			Kind: -1,
 		}
 		var known bool
@@ -183,6 +185,5 @@
 	s.Zones, s.Kinds = in.Dcs, in.Kinds
 	s.Grace = max(0, Span(in.Rules.StopSendingWithin))
 	s.ConnIdle = Span(cmp.Or(in.Limits.ConnIdle, 60))
-	s.ConnTimeout = Span(cmp.Or(in.Limits.ConnectTimeout, 1))
 	return s, nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -15,6 +15,7 @@
 	"Report": {"How": "probe", "Names": ["x0", "x1", "waiting"]}, "Rules": {"AskWithin": 10},
 	"Tenants": [{"QuotaPerS": 5, "Fraction": 0.4}]}`
 
+// The window in which a repeat is dropped ends earlier by the time that its connection may take to come up.
 func Example_site() {
 	s, err := ParseSite([]byte(siteText))
 	d := s.Deployment
@@ -33,7 +34,7 @@
 	// Output:
 	// [free slots heat waiting] <nil> true 2 3 1 {true true false 4 1 0s} 10s [{5 0.4}]
 	// {BilledValue:3 LateValue:0 LatencyObjective:250ms Stretch:2 Effect:0 Scope:0 DedupWindow:0s Kind:-1}
-	// {BilledValue:0 LateValue:0 LatencyObjective:0s Stretch:0 Effect:1 Scope:2 DedupWindow:7.5s Kind:2}
+	// {BilledValue:0 LateValue:0 LatencyObjective:0s Stretch:0 Effect:1 Scope:2 DedupWindow:6.5s Kind:2}
 	// {BilledValue:0 LateValue:0.5 LatencyObjective:0s Stretch:0 Effect:2 Scope:0 DedupWindow:0s Kind:-1}
 	// settings: unexpected end of JSON input
 	// settings: Operations[0].Effect: "strange" is unknown
