--- a/cmd/stoatweir/crossings_test.go
+++ b/cmd/stoatweir/crossings_test.go
@@ -166,3 +166,61 @@
 	}
 	r.check()
 }
+
+// A successor ends, or hangs, with an invocation on its way to it: its client has one answer, which promises nothing, the work
+// was sent once, and an idle connection that was on its way serves nobody twice.
+func TestSuccessorEndsInPass(t *testing.T) {
+	for _, hangs := range []bool{false, true} {
+		t.Run(fmt.Sprint("hangs: ", hangs), func(t *testing.T) {
+			r := newRig(t, 1, time.Hour)
+			p := r.start()
+			r.ready(p)
+			_, b := r.send("sale", "sale-passed")
+			r.outstanding(p, 1)
+			place, err := handover.Place(filepath.Join(r.dir, "tmp"), r.listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			link, _, l, err := handover.Find(place, r.listen, "n0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			passed, gone := make(chan handover.Message, 10), make(chan bool)
+			link.Start(func(m handover.Message) {
+				if m.Kind == handover.Pass {
+					passed <- m
+				}
+			}, func() { close(gone) })
+			link.Send(handover.Message{Kind: handover.Ready})
+			r.logged(p, "a process has come to replace this one", 1)
+			p.Process.Signal(syscall.SIGTERM)
+			m := <-passed
+			if !hangs {
+				link.Close()
+			}
+			<-gone
+			if first, _, closes, err := answerOf(b); first != "HTTP/1.1 500" || !closes || err != nil {
+				t.Error(first, closes, err)
+			}
+			if _, err := b.ReadByte(); err != io.EOF {
+				t.Error("after the answer: ", err)
+			}
+			// It finds the connection after all.
+			late, err := net.FileConn(m.File)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer late.Close()
+			late.SetDeadline(time.Now().Add(5 * time.Second))
+			if n, err := late.Read(make([]byte, 1)); n > 0 || err != io.EOF {
+				t.Error("it reads: ", n, err)
+			}
+			r.end(p, 5*time.Second)
+			r.check()
+			if w := r.workers[0]; len(w.got) != 1 || w.got["sale-passed"] != 1 {
+				t.Error("attempts: ", w.got)
+			}
+		})
+	}
+}
