A connection that does not come up is not waited for alone: another is dialled after a fifth of its time

Logs of its six schedulers: 160 times 'probes go unanswered', 50 times 'can't be reached', 1 silent, in 25 s with 16 workers of which none was bad. A third of the new connections come up late there, up to 0.4 s, and count as unreachable at 0.25 s; kept ones are closed early, so most are new. Ruled out: descriptors (48 of 672), processor time (0.02 s a second), the list (told in time), workers' health.

Change (line.go, Fleet.dial): after a fifth of the connect time another connection is dialled, up to three in all, within the time of the first; whichever comes up first has the request, once, and a late one is kept. Nothing is sent before that, so no attempt can run twice by it. The test fails with the second dial or the end of the dials taken out.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -516,6 +516,9 @@
 // that would cost its peer an answer.
 func (s *Share) Flushed() bool { return len(s.flushing) == 0 }
 
+// Room tells how many more descriptors there are, with none given up for them.
+func (s *Share) Room() int { return s.most - s.used }
+
 // Used tells how many descriptors are in use.
 func (s *Share) Used() int { return s.used }
 
--- a/internal/workers/crossings_test.go
+++ b/internal/workers/crossings_test.go
@@ -2,9 +2,15 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"net/netip"
+	"os"
 	"strings"
 	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
@@ -130,3 +136,96 @@
 		})
 	}
 }
+
+// A connection that does not come up is not waited for alone: the next one has the request, once, and the late one is kept.
+func Example_lateConnection() {
+	s := perform(took, took)
+	moves := func(to netip.AddrPort) {
+		s.List(discovery.List{Form: dispatch.ListDelta, Workers: []discovery.Worker{{UID: "s-1", Endpoint: to.String(),
+			Entry: dispatch.Entry{Worker: s.id, Standing: dispatch.Ready}}}})
+	}
+	addr, drain := jammed(s)
+	moves(addr)
+	s.site.ConnTimeout = 2500 * time.Millisecond // the kernel tries again after a second
+	s.Forward(s.job(1), 0, s.id)
+	for !comesUp(addr) {
+		time.Sleep(time.Millisecond)
+	}
+	drain()
+	s.until(1, 1)
+	fmt.Println("dialled:", s.Counts.Dialled)
+	s.settle("the late one", func() bool { return len(s.byUID["s-1"].idle) == 2 })
+	fmt.Println("sockets:", s.share.Used(), "heard:", len(s.heard), "out:", s.Out())
+	// Given up while none is up: all of them end.
+	addr, _ = jammed(s)
+	moves(addr)
+	s.Forward(s.job(2), 0, s.id)
+	s.settle("more dials", func() bool { return s.Counts.Dialled == 2+dialsMost })
+	s.Cancel(2, 0)
+	given := s.loop.Now()
+	s.settle("sockets", func() bool { return s.share.Used() == 0 })
+	s.until(1, 0)
+	fmt.Println("at once:", s.loop.Now()-given < time.Second)
+	// Output:
+	// connection 1: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 0: taken=true started=false done=0
+	// dialled: 2
+	// sockets: 2 heard: 0 out: 1
+	// inv 2 forward 0 ends: 6 closed=false load=false
+	// at once: true
+}
+
+// comesUp tells whether a connection to an address has been asked for and does not stand.
+func comesUp(to netip.AddrPort) bool {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		panic(err)
+	}
+	return strings.Contains(string(table), fmt.Sprintf(" 0100007F:%04X 02 ", to.Port()))
+}
+
+// jammed is an address in front of the stage's worker at which no connection comes up until its queue is drained.
+func jammed(s *stage) (addr netip.AddrPort, drain func()) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err == nil {
+		err = unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err == nil {
+		err = unix.Listen(fd, 0)
+	}
+	if err != nil {
+		panic(err)
+	}
+	name, _ := unix.Getsockname(fd)
+	addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(name.(*unix.SockaddrInet4).Port))
+	behind := s.id.String()
+	if _, err := net.Dial("tcp", addr.String()); err != nil { // it has the one place
+		panic(err)
+	}
+	return addr, func() {
+		go func() {
+			for first := true; ; first = false {
+				client, _, err := unix.Accept(fd)
+				if err != nil {
+					return
+				}
+				f := os.NewFile(uintptr(client), "accepted")
+				near, err := net.FileConn(f)
+				f.Close()
+				if err != nil {
+					panic(err)
+				}
+				if first {
+					near.Close()
+					continue
+				}
+				far, err := net.Dial("tcp", behind)
+				if err != nil {
+					panic(err)
+				}
+				go func() { io.Copy(far, near); far.Close() }()
+				go func() { io.Copy(near, far); near.Close() }()
+			}
+		}()
+	}
+}
--- a/internal/workers/line.go
+++ b/internal/workers/line.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
 	"stoatweir/internal/http1"
 )
@@ -16,6 +17,9 @@
 	alone   bool   // an answer taken for its own that is another's could have it run twice
 	wrote   func() // its last byte has been written; nil: nobody wants to know
 	limit   *conn.Alarm
+	line    *line       // that it goes over
+	dials   []*line     // that come up for it, while there is none
+	again   *conn.Alarm // until one more is dialled
 }
 
 // out is called where it shows that the last byte has been written, as often as it shows.
@@ -44,9 +48,18 @@
 // the next answer belongs to the next request.
 const strayMost = 100 * time.Millisecond
 
+const (
+	// Some connections come up late, and the next one at once: a part of the time that one has is waited before another is
+	// dialled. Whichever comes up first has the request; the others are kept, as their price has been paid.
+	redialPart = 5
+	dialsMost  = 3
+	// redialRoom descriptors are left for those that have no connection on its way.
+	redialRoom = 8
+)
+
 // ask sends on the connection used last, as it is the least likely to have been closed by the worker, or opens one.
-// nil: it has failed at once, and done has been called.
-func (f *Fleet) ask(w *worker, a *ask) *line {
+// False: it has failed at once, and done has been called.
+func (f *Fleet) ask(w *worker, a *ask) bool {
 	for n := len(w.idle) - 1; n >= 0; n-- {
 		l := w.idle[n]
 		rested := f.loop.Now() - l.parked
@@ -60,19 +73,49 @@
 			continue
 		}
 		l.c.Set(conn.Busy)
-		if l.ask = a; !l.send() {
-			return nil
-		}
-		return l
+		l.ask, a.line = a, l
+		return l.send()
 	}
 	if !f.share.Spare(0) {
 		a.done(nil, conn.Crowded)
-		return nil
+		return false
 	}
+	f.dial(w, a, f.loop.Now()+f.site.ConnTimeout)
+	return true
+}
+
+// dial opens one more connection for what is asked. All have the time of the first.
+func (f *Fleet) dial(w *worker, a *ask, until time.Duration) {
 	f.Counts.Dialled++
 	l := &line{fleet: f, worker: w, endpoint: w.endpoint, parser: http1.Parser{Answers: true}, ask: a}
-	l.c = f.share.Dial(w.endpoint, f.site.ConnTimeout, l)
-	return l
+	l.c = f.share.Dial(w.endpoint, until-f.loop.Now(), l)
+	if a.dials = append(a.dials, l); len(a.dials) < dialsMost {
+		a.again = f.loop.After(f.site.ConnTimeout/redialPart, func() {
+			if f.share.Room() > redialRoom && w.entry.Standing == dispatch.Ready && w.endpoint == l.endpoint {
+				f.dial(w, a, until)
+			}
+		})
+	}
+}
+
+// settled: one of the connections that came up for it has it, or it is over. The others carry nothing when they come up.
+func (a *ask) settled() {
+	a.again.Stop()
+	for _, l := range a.dials {
+		l.ask = nil
+	}
+	a.dials = nil
+}
+
+// drop ends what is asked, and its connections; it hears nothing more.
+func (a *ask) drop() {
+	a.limit.Stop()
+	for _, l := range a.dials {
+		l.c.Close()
+	}
+	if a.settled(); a.line != nil {
+		a.line.drop()
+	}
 }
 
 func (l *line) send() bool {
@@ -96,8 +139,9 @@
 
 func (l *line) finish(m *http1.Message, e conn.Ending) {
 	a := l.ask
-	l.ask = nil
+	l.ask, a.line = nil, nil
 	a.limit.Stop()
+	a.settled()
 	if m != nil || e.Written() {
 		a.out()
 	}
@@ -108,6 +152,7 @@
 func (l *line) drop() {
 	if l.ask != nil {
 		l.ask.limit.Stop()
+		l.ask.line = nil
 	}
 	l.ask, l.early = nil, nil
 	l.expiry.Stop()
@@ -148,8 +193,20 @@
 	w.idle = nil
 }
 
-// Up sends what the connection was opened for.
-func (l *line) Up(*conn.Conn) { l.send() }
+// Up sends what the connection was opened for, unless another one has it by now.
+func (l *line) Up(*conn.Conn) {
+	a := l.ask
+	switch {
+	case a != nil:
+		a.settled()
+		l.ask, a.line = a, l
+		l.send()
+	case l.endpoint != l.worker.endpoint || l.worker.entry.Standing == dispatch.Gone:
+		l.c.Close()
+	default:
+		l.park()
+	}
+}
 
 // Sent lets an answer that came first take effect.
 func (l *line) Sent(*conn.Conn) {
@@ -222,11 +279,16 @@
 			e = conn.Stale
 		}
 	}
-	if l.ask != nil {
+	a := l.ask
+	switch {
+	case a == nil:
+		l.worker.forget(l)
+	case a.line == nil && len(a.dials) > 1 && e == conn.NeverUp: // another may come up
+		l.ask = nil
+		a.dials = slices.DeleteFunc(a.dials, func(other *line) bool { return other == l })
+	default:
 		l.finish(nil, e)
-		return
 	}
-	l.worker.forget(l)
 }
 
 // keeps is how long connections are kept: a part of the time that the settings give, as a request must not cross the
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -88,9 +88,9 @@
 	inv      *Invocation
 	number   int
 	worker   *worker
-	line     *line // until the worker has taken it
-	taken    bool  // by a 202: the connection is free, the worker's slot is not
-	began    bool  // its worker has told so
+	ask      *ask // until the worker has taken it
+	taken    bool // by a 202: the connection is free, the worker's slot is not
+	began    bool // its worker has told so
 	deadline *conn.Alarm
 }
 
@@ -148,7 +148,7 @@
 	f.Counts.Sent++
 	f.byNumber[number{inv.Inv, fwd}], f.byName[name{inv.ID, w.uid}] = o, o
 	o.deadline = f.loop.After(inv.GivenUp-f.loop.Now(), func() { f.end(o, conn.Expired, nil) })
-	o.line = f.ask(w, &ask{
+	o.ask = &ask{
 		wrote: f.Wrote,
 		alone: inv.Once,
 		request: func() ([]byte, conn.Ending) {
@@ -165,7 +165,7 @@
 				append(slices.Clip(inv.Fields), http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...), conn.Open
 		},
 		done: func(m *http1.Message, e conn.Ending) {
-			o.line = nil
+			o.ask = nil
 			if m != nil && m.Status == 202 {
 				o.taken = true
 				f.Event(dispatch.Sign{Inv: inv.Inv, Worker: to, Forward: fwd, Taken: true})
@@ -179,7 +179,8 @@
 			}
 			f.end(o, e, f.load(w, m))
 		},
-	})
+	}
+	f.ask(w, o.ask)
 }
 
 // answered tells what an answer other than 202 to a forward, or any to a probe, amounts to.
@@ -228,13 +229,13 @@
 	if o.began && e.NeverRan() {
 		e = conn.Lost // whatever says so now, its worker had begun it
 	}
-	switch l := o.line; {
-	case l == nil:
+	switch a := o.ask; {
+	case a == nil:
 	case e == conn.CalledOff || e == conn.Expired:
-		l.drop() // before the 202 a forward is given up by closing the connection
+		a.drop() // before the 202 a forward is given up by closing the connection
 	default: // news came before the 202, which may still follow
-		l.ask.done = func(*http1.Message, conn.Ending) {}
-		l.ask.limit = f.loop.After(afterNews, l.drop)
+		a.done = func(*http1.Message, conn.Ending) {}
+		a.limit = f.loop.After(afterNews, a.drop)
 	}
 	if o.taken && (e == conn.CalledOff || e == conn.Expired) && f.site.Deployment.Allowed.Cancel {
 		f.cancel(o)
@@ -252,8 +253,8 @@
 	f.Counts.Cancels++
 	request := http1.Request("DELETE", "/jobs/"+o.inv.ID, o.worker.endpoint, nil)
 	a := &ask{request: always(request), done: func(*http1.Message, conn.Ending) {}}
-	if l := f.ask(o.worker, a); l != nil {
-		a.limit = f.loop.After(cancelWithin, l.drop)
+	if f.ask(o.worker, a) {
+		a.limit = f.loop.After(cancelWithin, a.drop)
 	}
 }
 
@@ -288,11 +289,11 @@
 		}
 		answer(e, f.load(w, m))
 	}
-	if l := f.ask(w, a); l != nil {
+	if f.ask(w, a) {
 		a.limit = f.loop.After(probeWithin, func() {
 			// The others that are kept may be as dead: work that is sent on a new one that never comes up has
 			// provably not run, and is free to go elsewhere.
-			l.drop()
+			a.drop()
 			w.shutIdle()
 			answer(conn.Stalled, nil)
 		})
