A short budget puts an invocation behind; only what it has waited here gives it up

Cause: desk.take reads a budget shorter than others as the wait of a later try, and hopeless refused such an invocation at once. Clients that wait for less from the first look the same. Ruled out: set-asides (210 to 46 with further dials, refusals the same), descriptors, processor time, the list, cold workers.

Change: tardy asks since when; rank puts behind what is late by its budget, hopeless counts from its arrival here. pick and land count from there too.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -582,7 +582,8 @@
 	o, j := &k.ops[min(a.Operation, len(k.ops)-1)], &k.invs[i]
 	*j = inv{id: a.Inv, op: a.Operation, tenant: a.Tenant, came: k.now, givenUp: k.now + a.Budget,
 		work: cmp.Or(max(0, a.Hint), o.sizes.mean(), 1), slots: max(1, a.Slots), tries: j.tries[:0]}
-	// What is left of a later try tells how long its client has waited: the objective counts from the first try.
+	// What is left of a later try tells how long its client has waited. One that waits for less than others from
+	// the first looks the same: neither is refused for that, both go behind.
 	o.most = max(o.most, a.Budget)
 	j.first = k.now - (o.most - a.Budget)
 	k.jobs, o.came = k.jobs+1, o.came+1
@@ -610,13 +611,12 @@
 	k.held = slices.Insert(k.held, at, i)
 }
 
-// rank is weight over size. The weight is what an answer still brings: the billed value, less once it is
-// late or beyond its tenant's share. While work is lost, the worst operation counts twice, by its part.
+// rank is weight over size: of what an answer still brings, less once late or beyond its tenant's share.
 func (k *desk) rank(j *inv) {
 	o := &k.ops[j.op]
 	worth := o.weight
-	if o.late && k.tardy(j) {
-		worth, j.spare = worth*o.lateValue/gives, 1 // it may have what is left over
+	if k.tardy(j, j.first) {
+		worth, j.spare = worth*cmp.Or(o.lateValue, 1)/gives, 1 // it may have what is left over
 	}
 	if j.tenant < len(k.tenants) && len(k.tenants[j.tenant].came) > 0 { // or known only since
 		t := &k.tenants[j.tenant]
@@ -624,7 +624,7 @@
 		within := min(1, t.QuotaPerS/rate)
 		worth *= within + (1-within)*k.excess
 	}
-	if j.op == k.worst {
+	if j.op == k.worst { // while work is lost it counts twice, by its part
 		worth *= 1 + k.worstPart/max(0.01, o.weight*o.came/k.asked)
 	}
 	j.weight, j.rank = worth, worth/j.size
@@ -678,18 +678,19 @@
 }
 
 // tardy: it has waited too long for any worker; not before the plain objective, as paces may be wrong.
-func (k *desk) tardy(j *inv) bool {
+func (k *desk) tardy(j *inv, since time.Duration) bool {
 	most := k.ops[j.op].objective
 	if len(k.pool) > 0 {
 		most = max(most, k.slack(j, k.sums.fastest))
 	}
-	return k.now-j.first > most
+	return k.now-since > most
 }
 
 // hopeless: nothing is to be earned any more, as it would be late, or not done before its client gives up.
 func (k *desk) hopeless(j *inv) bool {
 	left := j.givenUp - k.now
-	return left <= 2*beat || k.tardy(j) && (!k.ops[j.op].late || left <= seconds(j.work*k.sums.fastest))
+	return left <= 2*beat || k.tardy(j, j.came) && !k.ops[j.op].late ||
+		k.tardy(j, j.first) && left <= seconds(j.work*k.sums.fastest)
 }
 
 func (k *desk) giveUp(i int) {
@@ -713,7 +714,7 @@
 	j := &k.invs[i]
 	if o := &k.ops[j.op]; !j.done && but != landed {
 		o.served.add(0)
-	} else if !j.done && k.now-j.first > o.objective+seconds(o.stretch*j.work) {
+	} else if !j.done && k.now-j.came > o.objective+seconds(o.stretch*j.work) {
 		o.served.add(o.lateValue)
 	} else if !j.done {
 		o.served.add(1)
@@ -881,15 +882,13 @@
 // pick gives -1 where no room seems free. roomy: over half the pooled workers show room.
 func (k *desk) pick(j *inv) (best int, roomy bool) {
 	s, want := &k.sums, k.wants(j)
-	roomy = 2*s.roomCount > s.pooled
+	best, roomy = -1, 2*s.roomCount > s.pooled
 	if len(k.free) == 0 {
-		return -1, roomy
+		return best, roomy
 	}
 	// Better held for one that can do it in time than sent to one that can't.
-	waited, timely, bestRoom, from := k.now-j.first, false, 0.0, k.rng.Intn(len(k.free))
-	if best = -1; len(j.tries) == 0 && want.kind < 0 {
-		timely = k.ops[j.op].late || waited <= k.slack(j, s.fastest)
-	}
+	waited, bestRoom, from := k.now-j.came, 0.0, k.rng.Intn(len(k.free))
+	timely := len(j.tries) == 0 && want.kind < 0 && (k.ops[j.op].late || waited <= k.slack(j, s.fastest))
 	latest := k.ops[j.op].objective + seconds(hintLow*k.ops[j.op].stretch*j.work) - waited
 	for n := range k.free {
 		at := k.free[(from+n)%len(k.free)]
