--- a/cmd/stoatweir/crossings_test.go
+++ b/cmd/stoatweir/crossings_test.go
@@ -12,7 +12,12 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"stoatweir/dispatch"
 	"stoatweir/internal/handover"
+	"stoatweir/internal/settings"
+	"stoatweir/internal/workers"
 )
 
 // send hands in an invocation without waiting for its answer.
@@ -224,3 +229,41 @@
 		})
 	}
 }
+
+// What must never run twice is known as such to those who carry it, from the settings that hold when it comes.
+func Example_once() {
+	const text = `{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"Operations":[
+		{"Name":"render","Effect":"read_like"},{"Name":"keyed","Effect":"idempotency_key"},{"Name":"sale","Effect":"non_idempotent"}]}}`
+	read := func(text string) settings.Node {
+		node, err := settings.ParseNode([]byte(text), func(string) string { return "" })
+		if err != nil {
+			panic(err)
+		}
+		return node
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s, err := newService(read(text), logrus.NewEntry(log))
+	if err != nil {
+		panic(err)
+	}
+	come := func(inv dispatch.InvID) {
+		for n, name := range []string{"render", "keyed", "sale"} {
+			j := &workers.Invocation{Inv: inv + dispatch.InvID(n)}
+			s.door.Took(j, s.site.Current[name])
+			fmt.Println(name, j.Once)
+		}
+	}
+	come(1)
+	newer{s, read(strings.NewReplacer("read_like", "non_idempotent", "non_idempotent", "read_like").Replace(text)), nil}.Take()
+	come(10)
+	fmt.Println("in hand before:", s.invs[1].Once, s.invs[3].Once)
+	// Output:
+	// render false
+	// keyed false
+	// sale true
+	// render true
+	// keyed false
+	// sale false
+	// in hand before: false true
+}
