--- a/cmd/stoatweir/crossings_test.go
+++ b/cmd/stoatweir/crossings_test.go
@@ -108,6 +108,9 @@
 		}
 	}
 	c.Close()
+	for !strings.HasPrefix(p.ask("status"), "-ERR") { // the operators' door opens a moment later
+		time.Sleep(time.Millisecond)
+	}
 	_, b := r.send("render", "early")
 	r.outstanding(p, 1)
 	p.Process.Signal(syscall.SIGTERM)
