Held repeats ask again whether they may go in the moment of sending

Change: choose asks may for all that is held and gives up what may not go, at once: past its window, or beyond limits that came with new settings. The group of a deduplicated invocation is where its first attempt ran, written down when it was sent; a list that moves that worker moved the group. With that a resumed try at a worker which this instance never met has a zone at all. A Forward that repeats says until when it may leave, for whoever writes it later. MaxOut of 0 counts as not told, as MaxForwards does.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -538,7 +538,7 @@
 	// Best when an invocation comes, as figures are worth most while they are young; else a few each second.
 	if k.creditAt = k.now; k.comes || k.credit >= probeFloor {
 		for k.comes = false; k.credit >= 1; k.credit-- {
-			k.door.put(wanted{-1, -1, -1, false, k.all})
+			k.door.put(wanted{-1, -1, -1, 0, false, k.all})
 		}
 		if k.all.learn {
 			k.left = k.now
@@ -593,7 +593,7 @@
 	k.arrivals.add(k.now.Seconds())
 	if !slices.ContainsFunc(k.pool, func(at int) bool { return k.board[at].sure(j) }) {
 		for range min(k.asks, len(k.door.order)) {
-			k.door.put(wanted{-1, -1, -1, true, k.all})
+			k.door.put(wanted{-1, -1, -1, 0, true, k.all})
 		}
 	}
 	if k.comes = true; k.asks == 0 && k.credit+probeFloor*(k.now-k.creditAt).Seconds() < 1 { // floor's are spent
@@ -789,7 +789,7 @@
 		j := &k.invs[i]
 		inSet := above < epsilon*total
 		above += j.weight
-		if k.hopeless(j) {
+		if !k.may(j) || k.hopeless(j) { // what it was held for may have passed since, or the limits changed
 			k.giveUp(i)
 		} else if asking && k.now < j.came+beat {
 			n++
@@ -840,11 +840,10 @@
 
 // wants tells which workers may have an invocation next; its first forward that may have run fixes the group.
 func (k *desk) wants(j *inv) wanted {
-	o, w := &k.ops[j.op], wanted{k.ops[j.op].kind, -1, -1, k.tells, k.all}
-	if _, first := j.live(); first != nil && o.effect == Deduplicated && o.scope == ScopeZone {
-		w.zone = k.board[first.at].zone
-	} else if first != nil && o.effect == Deduplicated && o.scope == ScopeCell {
-		w.cell = k.board[first.at].cell
+	o, w := &k.ops[j.op], wanted{k.ops[j.op].kind, -1, -1, 0, k.tells, k.all}
+	if _, first := j.live(); first != nil && o.effect == Deduplicated {
+		w.until = first.sent + o.window
+		w.zone, w.cell = o.group(first)
 	}
 	return w
 }
@@ -852,8 +851,8 @@
 func (k *desk) send(i, at int) {
 	j, c := &k.invs[i], k.board[at]
 	k.unhold(i)
-	j.tries = append(j.tries, tried{at: at, sent: k.now, out: true})
-	k.do(Forward{j.id, k.door.list[at].Worker})
+	k.do(Forward{j.id, k.door.list[at].Worker, k.wants(j).until})
+	j.tries = append(j.tries, tried{at: at, zone: c.zone, cell: c.cell, sent: k.now, out: true})
 	k.left = k.now
 	c.room, c.mine, c.ours, c.spent = c.room-j.slots, c.mine+j.slots, c.ours+j.slots, c.spent+j.cost
 	k.door.list[at].worker.put(sent{errand{inv: i, fwd: len(j.tries) - 1, slots: j.slots, work: j.work,
--- a/dispatch/play_test.go
+++ b/dispatch/play_test.go
@@ -15,6 +15,7 @@
 	d      *Dispatcher
 	now    time.Duration
 	probes bool     // print these too
+	untils bool     // print by when repeats have to leave
 	quiet  bool     // gather lines instead of printing them
 	waits  bool     // the answers to probes are on their way; else they are lost at once
 	lines  []string // gathered since they were last told
@@ -92,6 +93,9 @@
 	switch a := action.(type) {
 	case Forward:
 		p.went[a.Inv] = append(p.went[a.Inv], a.Worker)
+		if p.untils && a.Until > 0 {
+			return fmt.Sprintf("%d to %s until %v", a.Inv, name(a.Worker), a.Until)
+		}
 		return fmt.Sprintf("%d to %s", a.Inv, name(a.Worker))
 	case Throttled:
 		when := "at once"
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -102,7 +102,9 @@
 		if !known {
 			continue
 		}
-		j.tries = append(j.tries, tried{at: at, sent: k.now - t.Age, out: t.Out, ran: t.Ran, stuck: t.Stuck, unfit: t.Unfit})
+		p := &k.door.list[at]
+		j.tries = append(j.tries, tried{at: at, zone: p.Zone, cell: p.Cell, sent: k.now - t.Age, out: t.Out, ran: t.Ran,
+			stuck: t.Stuck, unfit: t.Unfit})
 		if t.Unfit {
 			j.unfit++
 		}
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -34,7 +34,7 @@
 		d.me = dep.Me
 	}
 	d.peers = float64(max(1, dep.Peers, dep.Me+1)) // told too few, those with higher numbers know better
-	k.zone, k.cancels, k.mostOut, k.peers = dep.Zone, dep.Allowed.Cancel, dep.Allowed.MaxOut, d.peers
+	k.zone, k.cancels, k.mostOut, k.peers = dep.Zone, dep.Allowed.Cancel, max(1, dep.Allowed.MaxOut), d.peers
 	k.asks, k.queue = 0, queueShare
 	k.mostForwards, k.after = max(1, dep.Allowed.MaxForwards), min(dep.Allowed.MaxRetryAfter, awaySpan)
 	k.each = probePoints / max(dep.ProbePrice, probePoints/4)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -229,6 +229,7 @@
 type Forward struct {
 	Inv    InvID
 	Worker WorkerID
+	Until  time.Duration // a repeat that has not left by then must not leave at all; 0: it is none that a window bounds
 }
 
 // Throttled is a final answer: it has not run or may run again, so asking again is harmless.
@@ -396,6 +397,7 @@
 	}
 	wanted struct { // desk to door: one more worker, -1: of any kind, zone or cell
 		kind, zone, cell int
+		until            time.Duration // as in Forward
 		hearsay          bool
 		view
 	}
@@ -433,7 +435,7 @@
 }
 
 type tried struct {
-	at              int
+	at, zone, cell  int // where the worker was then: a list that moves it does not move what drops repeats
 	sent            time.Duration
 	out, ran, stuck bool // ran: it may have run
 	unfit           bool // the worker would not have it
@@ -514,6 +516,17 @@
 	most              time.Duration // the longest a client has been ready to wait
 }
 
+// group is where repeats of what was tried there are dropped; -1: in any zone or cell.
+func (o *operation) group(t *tried) (zone, cell int) {
+	switch o.scope {
+	case ScopeZone:
+		return t.zone, -1
+	case ScopeCell:
+		return -1, t.cell
+	}
+	return -1, -1
+}
+
 func (w wanted) suits(kind, zone, cell int) bool {
 	return (w.kind < 0 || w.kind == kind) && (w.zone < 0 || w.zone == zone) && (w.cell < 0 || w.cell == cell)
 }
