Repeats ask again when they are written; windows of hosted tenants end earlier too

A repeat is decided inside its window and written when its connection stands. The settings make the window shorter by the time to connect, which holds only while that time stays: it may grow with new settings while work in hand keeps the window that it came under, and a process that stood still hears late of all that came up. Fleet.ForwardUntil asks again at the moment of writing: past the time that the module gave, nothing goes out, it has not run, and the connection is kept. Site.Hosting took a tenant's window whole, without the time to connect; it is shortened like a site's own.

Tests, each failing without its part: Example_comingUpPastTheWindow, TestHosting.

--- a/internal/conn/ending.go
+++ b/internal/conn/ending.go
@@ -30,7 +30,7 @@
 	Served                   // the worker's result is there
 	Expired                  // we stopped waiting at the client timeout
 	CalledOff                // we gave it up before
-	Unsent                   // the client had its answer before it could go out
+	Unsent                   // the client had its answer, or its window had passed, before it could go out
 )
 
 // results is the one place where endings become what the module is told. Only what proves that nothing has run may
--- a/internal/settings/tenancy.go
+++ b/internal/settings/tenancy.go
@@ -131,7 +131,7 @@
 			s.LongestTimeout = max(s.LongestTimeout, timeout)
 			d.Operations = append(d.Operations, dispatch.Operation{BilledValue: o.BilledValue / most, LateValue: o.LateBilledValue,
 				LatencyObjective: Span(o.LatencyObjectiveS), Stretch: o.Stretch, Effect: hostedEffects[o.Effect], Scope: scopes[o.DedupScope],
-				DedupWindow: Span(o.DedupWindowS), Kind: -1})
+				DedupWindow: max(0, Span(o.DedupWindowS)-s.ConnTimeout), Kind: -1}) // as of the site's own
 		}
 	}
 	return s
--- a/internal/settings/tenancy_test.go
+++ b/internal/settings/tenancy_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"stoatweir/dispatch"
 	"stoatweir/internal/tenants"
@@ -57,7 +58,11 @@
 	}
 	all := []tenants.Tenant{{Handle: "t1", Spec: tenants.Spec{Operations: []tenants.Operation{op("a", "idempotent", 1e6), op("b", "non_idempotent", 5e5)}}},
 		{Handle: "t9", Spec: tenants.Spec{Operations: []tenants.Operation{op("a", "deduplicated", 3)}}}}
+	all[1].Spec.Operations[0].DedupWindowS = 2.5
 	hosted := site.Hosting(all, 0.5)
+	if o := hosted.Deployment.Operations[hosted.Current["t9/a"]]; o.DedupWindow != 1500*time.Millisecond {
+		t.Error("the window of a tenant's repeats, less the time to connect:", o.DedupWindow)
+	}
 	at := hosted.Current["t9/a"]
 	if d := hosted.Deployment.Operations[at]; d.Effect != dispatch.Deduplicated || d.Scope != dispatch.ScopeCell || d.BilledValue != 1 ||
 		hosted.Deployment.Operations[hosted.Current["t1/b"]].BilledValue != 0.5 || hosted.Timeouts[at] != Span(3) {
--- a/internal/workers/crossings_test.go
+++ b/internal/workers/crossings_test.go
@@ -31,6 +31,25 @@
 	// idle: 1 heard: 0
 }
 
+// A repeat's window passes while its connection comes up, or before it is written: nothing goes out, and it has not run. The
+// connection is kept.
+func Example_comingUpPastTheWindow() {
+	s := perform(took)
+	s.ForwardUntil(s.job(1), 1, s.id, time.Nanosecond)
+	s.until(1, 0)
+	fmt.Println("idle:", len(s.byUID["s-1"].idle), "heard:", len(s.heard))
+	s.ForwardUntil(s.job(1), 2, s.id, time.Nanosecond) // over the one that stands
+	s.until(1, 0)
+	s.ForwardUntil(s.job(2), 1, s.id, s.loop.Now()+time.Hour)
+	s.until(1, 1)
+	// Output:
+	// inv 1 forward 1 ends: 7 closed=false load=false
+	// idle: 1 heard: 0
+	// inv 1 forward 2 ends: 7 closed=false load=false
+	// connection 1: POST /render/7f HTTP/1.1 id2 body
+	// inv 2 forward 1: taken=true started=false done=0
+}
+
 // A worker that moves while a connection to it comes up may have left its old address to another.
 func Example_comingUpElsewhere() {
 	s, other := perform(), perform(took)
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -138,6 +138,11 @@
 
 // Forward sends an invocation; the end of that is told as an event.
 func (f *Fleet) Forward(inv *Invocation, fwd int, to dispatch.WorkerID) {
+	f.ForwardUntil(inv, fwd, to, 0)
+}
+
+// ForwardUntil sends one that must not leave later than that; 0: nothing bounds it.
+func (f *Fleet) ForwardUntil(inv *Invocation, fwd int, to dispatch.WorkerID, until time.Duration) {
 	w := f.workers[to]
 	o := &forward{inv: inv, number: fwd, worker: w}
 	if w == nil || !f.Owed(inv.Inv) {
@@ -157,7 +162,9 @@
 			if w.entry.Standing != dispatch.Ready {
 				return nil, conn.Withheld
 			}
-			if !f.Owed(inv.Inv) {
+			// Nor does a repeat leave whose window has passed meanwhile: the time to connect may have grown with new settings,
+			// and a process that stood still hears late of all that came up.
+			if !f.Owed(inv.Inv) || until > 0 && f.loop.Now() >= until {
 				return nil, conn.Unsent
 			}
 			left := max(0, inv.GivenUp-f.loop.Now()).Seconds()
