--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -92,8 +92,7 @@
 	c := &Conn{loop: s.loop, share: s, owner: owner, abort: abort}
 	s.used++
 	go func() {
-		var d net.Dialer
-		nc, err := d.DialContext(ctx, "tcp", addr)
+		nc, err := s.loop.DialContext(ctx, "tcp", addr)
 		s.loop.Put(note{Conn: c, net: nc, err: err, what: dialed})
 	}()
 	return c
--- a/internal/conn/loop.go
+++ b/internal/conn/loop.go
@@ -3,6 +3,8 @@
 
 import (
 	"container/heap"
+	"context"
+	"net"
 	"time"
 )
 
@@ -20,11 +22,14 @@
 	ended  bool
 
 	Panicked func(cause any) // what was being done is dropped and the loop goes on; nil: it ends the program
+	// DialContext makes the connections, as net.Dialer does unless it is set. Goroutines call it.
+	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // NewLoop starts the clock.
 func NewLoop(start time.Time) *Loop {
-	return &Loop{inbox: make(chan Note, 1024), orders: make(chan Note, 16), start: start}
+	return &Loop{inbox: make(chan Note, 1024), orders: make(chan Note, 16), start: start,
+		DialContext: new(net.Dialer).DialContext}
 }
 
 // Now is the time since the start, read once for each note: all that a note causes happens at one moment.
