A lost call for the list leaves time for the next: all below 6 s after discovery's return

Short times to ask within make the spans parts of them. Example_list: the second wait is as the first now.

--- a/cmd/stoatweir/retune.go
+++ b/cmd/stoatweir/retune.go
@@ -63,6 +63,7 @@
 	onSockets(&site.Deployment)
 	site.Deployment.Allowed.Tell = site.Deployment.Allowed.Tell && s.road != nil
 	s.site = site
+	s.askWithin()
 	s.door.Retune(site)
 	s.fleet.Retune(site)
 	s.events = append(s.events, dispatch.Retuned{Deployment: site.Deployment, From: from})
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -110,6 +110,8 @@
 	s.door.Retune(node.Site)
 	event := func(e dispatch.Event) { s.events = append(s.events, e) }
 	s.chance = rand.New(rand.NewPCG(uint64(node.Seed), uint64(start.UnixNano())))
+	s.list.Chance = s.chance
+	s.askWithin()
 	s.door.Event, s.fleet.Event = event, event
 	s.door.Took = func(j *workers.Invocation, operation int) {
 		j.Once = s.once(operation)
@@ -196,6 +198,13 @@
 	}
 }
 
+// askWithin tells the watcher what time the settings give for asking.
+func (s *service) askWithin() {
+	if s.list.Within = 0; !s.site.Deployment.Pushed {
+		s.list.Within = s.base.Deployment.Rules.AskWithin
+	}
+}
+
 // told takes news of the list in.
 func (s *service) told(list discovery.List) {
 	if list.Form != dispatch.ListFailed {
--- a/cmd/stoatweir/told_test.go
+++ b/cmd/stoatweir/told_test.go
@@ -335,7 +335,7 @@
 						default:
 							most = 500 * time.Millisecond
 						}
-						t.Logf("worst span from return to list: %v, down for %v", worst.Round(time.Millisecond), when)
+						t.Logf("%s: worst span from return to list: %v, down for %v", name, worst.Round(time.Millisecond), when)
 						if worst >= most {
 							t.Errorf("%v is not below %v", worst, most)
 						}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -83,8 +83,8 @@
 
 func (d *Dispatcher) follow(list Listing) {
 	if list.Form == ListFailed {
-		// Not all schedulers' calls at once, but well inside the time after which we count as told.
-		wait := max(min(250*time.Millisecond<<min(d.failed, 6), d.within/2), 250*time.Millisecond)
+		// Not all schedulers' calls at once, but inside what is left of our time after a call that was lost.
+		wait := max(min(againFirst<<max(min(d.failed, 6)-1, 0), d.within/againPart), againLeast)
 		d.follows, d.failed = false, d.failed+1
 		if !d.asks {
 			return // it is pushed: nothing to ask for, and whoever carries it tells of its failures
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -7,6 +7,22 @@
 
 // This file starts an instance and turns what a deployment tells into the few figures that decisions use.
 
+// The calls for the list, of which one may be lost: its caller waits for a word, then for its next try, and that has to
+// bring the list inside the time to ask within. Where discovery is on sockets its package adds this up.
+const (
+	againFirst = 250 * time.Millisecond // the wait after a first and a second failure in a row, then twice as long each
+	againPart  = 6                      // the longest is a sixth of that time; by chance from half of it to
+	againMore  = 1.5                    // so many times as much
+	againLeast = 50 * time.Millisecond
+)
+
+// Again is the longest wait after the first failed call for the list, and after any number of them.
+func Again(within time.Duration) (first, most time.Duration) {
+	long := func(wait time.Duration) time.Duration { return time.Duration(againMore * float64(wait)) }
+	most = max(within/againPart, againLeast)
+	return long(min(againFirst, most)), long(most)
+}
+
 // New starts an instance. The deployment is turned into the figures that decisions use and is not kept.
 func New(dep Deployment, seed int64) *Dispatcher {
 	d := &Dispatcher{workerAt: map[WorkerID]int{}, tagAt: map[uint32]int{}, sentTo: map[[2]int]int{},
--- a/dispatch/trace_test.go
+++ b/dispatch/trace_test.go
@@ -480,8 +480,8 @@
 	// 0s asks for the list
 	// 20ms list call failed or subscription lost, asking again at 311.145821ms
 	// 320ms asks for the list
-	// 510ms list call failed or subscription lost, asking again at 995.010051ms
-	// 1.01s asks for the list
+	// 510ms list call failed or subscription lost, asking again at 870.010051ms
+	// 890ms asks for the list
 }
 
 // A streamed answer that has begun belongs to the client: the other copy is cancelled and nothing more is sent.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
 	"net/netip"
 	"strconv"
 	"time"
@@ -15,19 +16,7 @@
 	"stoatweir/internal/http1"
 )
 
-const (
-	// An empty line comes every 2 s, and what there is to tell counts as told 6 s after it happened: a watch that
-	// says nothing whole for this long has to be given up in time for another one to bring it, and a third where that is as
-	// silent.
-	silence   = 3200 * time.Millisecond
-	nextWord  = 1500 * time.Millisecond // of the one that follows one that fell silent
-	connectIn = time.Second
-	maxValue  = 1 << 20 // of a watch, whatever the peer sends
-
-	// What there is to tell counts as told 4 s after the order to move: there is time for more than one try, each short.
-	moveFirst, moveMost = 50 * time.Millisecond, 500 * time.Millisecond // between tries to reach the new address
-	moveWord            = 1500 * time.Millisecond                       // until its first word
-)
+const maxValue = 1 << 20 // of a watch, whatever the peer sends
 
 // Worker is one entry: where it listens as seen from here, and what the module is told of it.
 type Worker struct {
@@ -56,7 +45,9 @@
 type Watcher struct {
 	Told   func(List)
 	Failed func(why string)
-	Calls  int // watches begun
+	Within time.Duration // that the settings give for asking; 0: changes come unasked
+	Chance *rand.Rand    // spreads the calls of schedulers that move together; nil: they don't
+	Calls  int           // watches begun
 
 	loop          *conn.Loop
 	share         *conn.Share
@@ -69,6 +60,7 @@
 	present, next *watch // nil: none
 	tries         int    // to reach the address that the watch moves to
 	mute          bool   // the last one had told something and fell silent
+	failed        int    // watches in a row that told nothing
 	moving        bool
 	retry         *conn.Alarm
 }
@@ -209,9 +201,9 @@
 		return
 	}
 	w.present.drop()
-	word := silence
+	word := w.patience()
 	if w.mute {
-		word = nextWord // but once: discovery takes calls in turn, and where it has many none would come to its turn
+		word = min(word, nextWord) // but once: discovery takes calls in turn, and where it has many none would come to its turn
 	}
 	w.mute = false
 	w.present = w.begin(w.rev, word)
@@ -229,7 +221,15 @@
 		w.moving = false // back to where it is
 		return
 	}
-	w.try()
+	w.retry = w.loop.After(w.spread(0, moveSpread), w.try)
+}
+
+// spread is a span from least to most, by chance where there is any.
+func (w *Watcher) spread(least, most time.Duration) time.Duration {
+	if w.Chance == nil {
+		return least
+	}
+	return least + time.Duration(w.Chance.Int64N(int64(most-least)))
 }
 
 func (w *Watcher) try() { w.next = w.begin(0, moveWord) }
@@ -263,11 +263,13 @@
 		if w.tries++; w.tries == 1 {
 			w.Failed("the new address: " + why.Error()) // one line a move: tries are brisk
 		}
-		w.retry = w.loop.After(min(moveFirst<<min(w.tries, 8), moveMost), w.try)
+		wait := min(moveFirst<<min(w.tries, 8), moveMost)
+		w.retry = w.loop.After(w.spread(wait/2, wait), w.try)
 	case n == w.present && w.moving:
 		w.present = nil // its address goes away, as is to be expected; the next one is on its way
 	case n == w.present:
 		w.present = nil
+		w.failed++
 		w.Failed(why.Error())
 		w.Told(List{Form: dispatch.ListFailed})
 	}
@@ -280,7 +282,8 @@
 		w.present.drop()
 		w.present, w.next, w.moving = n, nil, false
 	}
-	n.stands = true
+	n.stands, w.failed = true, 0
+	n.alive()
 	w.Told(list)
 }
 
@@ -299,7 +302,7 @@
 	}
 }
 
-// Read takes the answer in. Only what is whole shows that the watch is alive: a head, a list, an empty line. Bytes that never
+// Read takes the answer in. Only what is whole shows that the watch is alive: a list, an empty line. Bytes that never
 // come to an end would have it stand for good, and tell nothing.
 func (n *watch) Read(c *conn.Conn) {
 	for c == n.c && c.In.Len() > 0 {
@@ -308,8 +311,6 @@
 		case err != nil:
 		case step == http1.Head && n.parser.Message.Status != 200:
 			err = fmt.Errorf("status %d", n.parser.Message.Status)
-		case step == http1.Head:
-			n.alive()
 		case step == http1.Piece:
 			err = n.take(n.parser.Piece)
 		case step == http1.Whole:
@@ -325,7 +326,12 @@
 	}
 }
 
+// alive: a watch that has told something goes on. Until then its time runs from the call: a head alone, however late, must not
+// buy it more.
 func (n *watch) alive() {
+	if !n.stands {
+		return
+	}
 	n.quiet.Stop()
 	n.quiet = n.loop.After(silence, n.silent)
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -162,11 +162,12 @@
 	w.Told = func(list List) { show(list); loop.Stop() }
 	w.Watch()
 	loop.Run(func() {})
-	fmt.Println(time.Since(began) > silence, silence < 6*time.Second-2*connectIn)
+	took := time.Since(began)
+	fmt.Println(took > firstWord, took < firstWord+connectIn, silence < 6*time.Second-2*connectIn)
 	// Output:
 	// failed: it is silent
 	// form 0:
-	// true true
+	// true true true
 }
 
 // serve is a discovery whose answers are lines; it prints what is asked under its name.
