--- a/cmd/stoatweir/told_test.go
+++ b/cmd/stoatweir/told_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"runtime"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -19,6 +20,7 @@
 
 	"stoatweir/dispatch"
 	"stoatweir/internal/discovery"
+	"stoatweir/internal/life"
 	"stoatweir/internal/settings"
 )
 
@@ -51,6 +53,7 @@
 	late     time.Duration // that an answer takes beyond that, for nobody else to wait
 	patience time.Duration // a call that has waited for longer is turned away; 0: never
 	drains   time.Duration // when the worker begins to; 0: at the return
+	moves    bool          // another address is served from the beginning of the outage on, and fails; the old one goes
 
 	mu    sync.Mutex
 	over  bool
@@ -78,6 +81,11 @@
 	}
 	d.calls = append(d.calls, d.now())
 	how := d.state()
+	if d.moves && addr == discoveryAddr {
+		if how = up; d.now() >= d.from {
+			return nil, no
+		}
+	}
 	switch how {
 	case refused:
 		return nil, no
@@ -89,7 +97,7 @@
 	}
 	ours, theirs := net.Pipe()
 	d.open[theirs] = true
-	go d.serve(theirs, how)
+	go d.serve(theirs, how, addr)
 	return ours, nil
 }
 
@@ -107,7 +115,7 @@
 
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
-func (d *standIn) serve(c net.Conn, how outage) {
+func (d *standIn) serve(c net.Conn, how outage, addr string) {
 	defer func() {
 		d.mu.Lock()
 		delete(d.open, c)
@@ -173,7 +181,12 @@
 		if !wait(200 * time.Millisecond) {
 			return
 		}
-		if d.state() != up {
+		if old := d.moves && addr == discoveryAddr; old && d.now() < d.from+1500*time.Millisecond {
+			if line%10 == 0 {
+				io.WriteString(c, chunk("\n"))
+			}
+			continue // what is new is told at the new address alone
+		} else if old || d.state() != up {
 			if d.silent {
 				<-gone
 			}
@@ -345,3 +358,270 @@
 		}
 	}
 }
+
+// together plays schedulers of one kind, each with its own discovery, to a time, and ends them.
+func together(t *testing.T, until time.Duration, all ...*player) {
+	t.Helper()
+	time.Sleep(until)
+	for _, p := range all {
+		p.at.shut()
+	}
+	time.Sleep(2 * time.Second)
+	for _, p := range all {
+		p.end()
+	}
+}
+
+// An open watch falls silent while discovery has something to tell, and the call behind it may be lost as well: the list comes less than
+// 6 s and the grace after the watch fell silent. Where two calls or more were lost it could not be reached until it was back.
+func TestToldAfterSilence(t *testing.T) {
+	const first, step, longest = 3 * time.Second, 50 * time.Millisecond, 3600 * time.Millisecond
+	for _, play := range []day{{peers: 300}, {within: 2000}, {push: true}, {push: true, grace: 30}} {
+		t.Run(fmt.Sprintf("%+v", play), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				var all []*player
+				for span := time.Duration(0); span <= longest; span += step {
+					for seed := range 3 {
+						play.seed = 1000*len(all) + seed
+						all = append(all, play.play(t, &standIn{began: time.Now(), how: mute, from: first, to: first + span + 1, silent: true,
+							drains: first + 1, each: 20 * time.Millisecond, open: map[net.Conn]bool{}}))
+					}
+				}
+				together(t, 15*time.Second, all...)
+				var worst [2]time.Duration
+				var plays [2]int
+				for _, p := range all {
+					if p.told == 0 {
+						t.Fatal("never told")
+					}
+					lost, from, which := 0, p.at.from, 0
+					for _, call := range p.at.calls {
+						if call >= p.at.from && call < p.at.to {
+							lost++
+						}
+					}
+					if lost > 1 {
+						which, from = 1, p.at.to
+					}
+					worst[which] = max(worst[which], p.told-from)
+					plays[which]++
+				}
+				t.Logf("%s: worst span to the list, from silence %v (%d plays), from the return after two lost calls %v (%d)", t.Name(),
+					worst[0].Round(time.Millisecond), plays[0], worst[1].Round(time.Millisecond), plays[1])
+				if max(worst[0], worst[1]) >= afterSix {
+					t.Errorf("%v is not below %v", worst, afterSix)
+				}
+			})
+		})
+	}
+}
+
+// SIGHUP names another address, which may fail in each way for up to 8 s: what it has to tell comes less than 4 s after the order,
+// or less than 6 s and the grace after it can be reached, whichever is later; with up to 1.5 s of failure, within the 4 s.
+func TestToldAfterMove(t *testing.T) {
+	const first, step, longest = 3 * time.Second, 100 * time.Millisecond, 8 * time.Second
+	for how := refused; how <= stalled; how++ {
+		for _, push := range []bool{false, true} {
+			name := fmt.Sprintf("%s/push=%v", outages[how], push)
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					var all []*player
+					for span := time.Duration(0); span <= longest; span += step {
+						at := &standIn{began: time.Now(), how: how, from: first, to: first + span, moves: true, each: 20 * time.Millisecond,
+							open: map[net.Conn]bool{}}
+						p := day{push: push, peers: 300, seed: len(all)}.play(t, at)
+						all = append(all, p)
+						time.AfterFunc(first, func() {
+							node := p.node
+							node.Site, node.Discovery = p.base, movedAddr
+							p.loop.Order(newer{p.service, node, nil})
+						})
+					}
+					together(t, first+longest+8*time.Second, all...)
+					worst, late := time.Duration(0), time.Duration(0)
+					for _, p := range all {
+						span := p.at.to - first
+						most := max(4*time.Second, span+afterSix)
+						if span <= 1500*time.Millisecond {
+							most = 4 * time.Second
+							late = max(late, p.told-first)
+						}
+						worst = max(worst, p.told-p.at.to)
+						if took := p.told - first; p.told == 0 || took >= most {
+							t.Errorf("down for %v: the list comes %v after the order, not within %v", span, took, most)
+						}
+					}
+					t.Logf("%s: worst after the return %v; after the order, where that is within 1.5 s, %v", name,
+						worst.Round(time.Millisecond), late.Round(time.Millisecond))
+				})
+			})
+		}
+	}
+}
+
+// A process that is told to stop follows the list on: its watch has ended, and what comes at the return is in before it goes.
+func TestToldDuringAStop(t *testing.T) {
+	const first = 3 * time.Second
+	for _, push := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var all []*player
+			for seed := range 50 {
+				at := &standIn{began: time.Now(), how: refused, from: first, to: first + 300*time.Millisecond, open: map[net.Conn]bool{}}
+				p := day{push: push, peers: 300, seed: seed}.play(t, at)
+				time.AfterFunc(first+100*time.Millisecond, func() {
+					p.loop.Order(order{p.service, func() {
+						p.door.Longest = 3 * time.Second // as a client has said
+						p.service.stop()
+					}})
+				})
+				all = append(all, p)
+			}
+			time.Sleep(first + 1200*time.Millisecond)
+			for _, p := range all {
+				p.at.shut()
+			}
+			for _, p := range all {
+				<-p.over
+				close(p.listener)
+				if p.told == 0 {
+					t.Error("never told; lists:", p.heard)
+				}
+			}
+		})
+	}
+}
+
+// perTenth is the most calls in any 100 ms from a moment on, and the plain mean until the last of them.
+func (d *standIn) perTenth(from time.Duration) (most int, mean float64) {
+	var after []time.Duration
+	for _, call := range d.calls {
+		if call >= from {
+			after = append(after, call)
+		}
+	}
+	slices.Sort(after)
+	for first, call := range after {
+		end, _ := slices.BinarySearch(after, call+100*time.Millisecond)
+		most = max(most, end-first)
+	}
+	return most, float64(len(after)) / max(1, float64(after[len(after)-1]-from)/float64(100*time.Millisecond))
+}
+
+// Discovery returns to 300 schedulers: they come spread over the longest wait, at most a quarter of them in any 100 ms. Pushed lists, with
+// a grace of half a second, leave a quarter of a second for that.
+func TestReturnToManySchedulers(t *testing.T) {
+	for _, play := range []struct {
+		how  outage
+		span time.Duration
+		push bool
+	}{{refused, 8 * time.Second, false}, {unavailable, 3 * time.Second, false}, {mute, 8 * time.Second, false}, {refused, time.Second, false},
+		{refused, 8 * time.Second, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			const first = 6 * time.Second
+			at := &standIn{began: time.Now(), how: play.how, from: first, to: first + play.span, each: time.Millisecond,
+				open: map[net.Conn]bool{}}
+			var all []*player
+			for seed := range 300 {
+				all = append(all, day{peers: 300, seed: seed, push: play.push}.play(t, at))
+			}
+			time.Sleep(at.to + 8*time.Second)
+			at.shut()
+			calls := slices.Clone(at.calls)
+			time.Sleep(2 * time.Second)
+			worst := time.Duration(0)
+			for _, p := range all {
+				p.end()
+				if worst = max(worst, p.told-at.to); p.told == 0 {
+					t.Error("never told")
+				}
+			}
+			at.calls = calls
+			most, mean := at.perTenth(at.to)
+			down, _ := at.perTenth(at.from)
+			t.Logf("%s for %v, push=%v: at the return at most %d calls in 100 ms, mean %.1f; at the failure %d; last list after %v",
+				outages[play.how], play.span, play.push, most, mean, down, worst.Round(time.Millisecond))
+			if !play.push && most > len(all)/4 {
+				t.Errorf("%d calls in 100 ms of %d schedulers", most, len(all))
+			}
+			if worst >= afterSix {
+				t.Errorf("the last list comes %v after the return", worst)
+			}
+		})
+	}
+}
+
+// 300 schedulers are started together while discovery is slow, down or overrun: nine in ten say yes within 10 s. Without any known list
+// they say so a second after their start and hold what comes until there is one: the page's log tells when that is.
+func TestReadyAtManyRestarts(t *testing.T) {
+	const schedulers = 300
+	for _, play := range []struct {
+		name string
+		*standIn
+	}{
+		{"well", &standIn{each: time.Millisecond}},
+		{"each answer 2.5 s late", &standIn{each: time.Millisecond, late: 2500 * time.Millisecond}},
+		{"each answer 5 s late", &standIn{each: time.Millisecond, late: 5 * time.Second}},
+		{"refuses for 8 s", &standIn{how: refused, to: 8 * time.Second, each: time.Millisecond}},
+		{"mute for 8 s", &standIn{how: mute, to: 8 * time.Second, each: time.Millisecond}},
+		{"refuses for 8 s, then 60 calls a second", &standIn{how: refused, to: 8 * time.Second, each: time.Second / 60}},
+		{"60 calls a second", &standIn{each: time.Second / 60}},
+		{"60 calls a second, 503 after 2 s", &standIn{each: time.Second / 60, patience: 2 * time.Second}},
+		{"25 calls a second", &standIn{each: time.Second / 25}},
+		{"25 calls a second, 503 after 2 s", &standIn{each: time.Second / 25, patience: 2 * time.Second}},
+		{"refuses for good", &standIn{how: refused, to: time.Hour}},
+	} {
+		for _, day := range []day{{peers: schedulers}, {peers: schedulers, unknown: true}, {peers: schedulers, push: true, unknown: true}} {
+			name := fmt.Sprintf("%s/push=%v/known=%v", play.name, day.push, !day.unknown)
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					at := &standIn{how: play.how, to: play.to, each: play.each, late: play.late, patience: play.patience,
+						began: time.Now(), open: map[net.Conn]bool{}}
+					var all []*player
+					for day.seed = range schedulers {
+						all = append(all, day.play(t, at))
+					}
+					var ready, listed []time.Duration
+					const watched, look = 40 * time.Second, 10 * time.Millisecond
+					yes := map[*player]bool{}
+					for at.now() < watched {
+						for _, p := range all {
+							if !yes[p] && life.State(p.stands.Load()) == life.Ready {
+								yes[p] = true
+								ready = append(ready, at.now())
+							}
+						}
+						time.Sleep(look)
+					}
+					at.shut()
+					time.Sleep(2 * time.Second)
+					for _, p := range all {
+						p.end()
+						if len(p.heard) > 0 {
+							listed = append(listed, p.heard[0])
+						}
+					}
+					t.Logf("%s: ready %s; first list from discovery %s; %d calls", name, spread(ready, schedulers), spread(listed, schedulers),
+						len(at.calls))
+					if n, _ := slices.BinarySearch(ready, 10*time.Second); n < schedulers*9/10 {
+						t.Error("ready within 10 s:", n, "of", schedulers)
+					}
+				})
+			})
+		}
+	}
+}
+
+// spread tells the quantiles of what each of so many has had at some time.
+func spread(times []time.Duration, of int) string {
+	slices.Sort(times)
+	at := func(part float64) string {
+		if n := int(part*float64(of)+0.5) - 1; n < len(times) {
+			return times[n].Round(10 * time.Millisecond).String()
+		}
+		return "-"
+	}
+	return fmt.Sprintf("p50 %s p90 %s max %s (%d of %d)", at(0.5), at(0.9), at(1), len(times), of)
+}
