A send asks the kernel whether its client has left, and all else that may have changed

What was decided before a connection came up was asked again by the loop's books alone: the word that a client had gone may stand in line behind all else. Also asked now at the first byte: start, zone and cell of the worker as chosen, the client timeout, and whether the forward is still wanted (late news of an earlier forward to the same worker ended one that was dialling, which was sent all the same). Closes over unread requests, kept lines with an unread end, flooders that have gone behind what the kernel holds.

--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -119,7 +119,7 @@
 	s.door.Relay, s.door.Foreign, s.door.Holds = s.relay, s.foreign, s.holds
 	s.door.Served = func(t time.Duration) { s.waits.RecordValue(t.Microseconds()) }
 	s.door.Manner = func() life.Manner { return s.life.At(loop.Now()) }
-	s.fleet.Deliver, s.fleet.Owed, s.fleet.Wrote = s.door.Deliver, s.door.Owed, book.Sent
+	s.fleet.Deliver, s.fleet.Owed, s.fleet.Waits, s.fleet.Wrote = s.door.Deliver, s.door.Owed, s.door.Waits, book.Sent
 	s.list.Told, loop.Panicked = s.told, s.panicked
 	s.list.Failed = func(why string) { log.Warn("the watch of the list has failed: ", why) }
 	s.resize(node.Sockets)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -201,6 +201,17 @@
 // Owed tells whether a client still waits for the answer.
 func (d *Door) Owed(inv dispatch.InvID) bool { return d.inHand[inv] != nil }
 
+// Waits tells the same at the moment of a send. The kernel is asked too: the word that its client has gone may stand in line
+// behind all else that the loop has to do. Who has gone is taken as such at once.
+func (d *Door) Waits(inv dispatch.InvID) bool {
+	j := d.inHand[inv]
+	if j != nil && j.visit.c.Left() {
+		j.visit.c.Close()
+		j.visit.Down(j.visit.c, conn.Closed)
+	}
+	return d.Owed(inv)
+}
+
 // InHand counts the invocations that are owed an answer.
 func (d *Door) InHand() int { return len(d.inHand) }
 
@@ -371,12 +382,12 @@
 // young: it has just come, and its first request with it.
 func (v *visit) young() bool { return !v.useful && v.door.loop.Now() < v.came+firstIn }
 
-// part ends an idle connection. A request that has been read by now is served first; one that comes later has not been
-// read, and its client sends it again.
+// part ends an idle connection. A request that has come by now is served first, also where nobody has read it yet: closing
+// over it would reset the connection. One that comes later has not been read, and its client sends it again.
 func (v *visit) part() {
 	v.parts = true
 	v.c.Detach(func() {
-		if v.parts = false; !v.idle() {
+		if v.parts = false; !v.idle() || v.c.Readable() {
 			v.c.Attach()
 			return
 		}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -32,10 +32,16 @@
 	// would reset it and could cost the peer the answer.
 	lingers = 2 * time.Second
 	// What is taken in then is thrown away by the goroutine, in large gulps with a rest after each: a peer that
-	// sends without end must cost neither turns of the loop nor the core.
-	gulp, rest = 64 << 10, time.Millisecond
+	// sends without end must cost neither turns of the loop nor the core. The first of it goes without: the peer may have
+	// gone behind what the system holds of it, and that is to be seen at once.
+	gulp, briskBytes, briskReads = 64 << 10, 32 << 20, 4 << 10
+	// arrives is how long a last answer may take to its peer, which ends the connection then: with bytes of its own unread
+	// here, the end of the program would reset it.
+	arrives = 100 * time.Millisecond
 )
 
+var rest = time.Millisecond
+
 var gulps = sync.Pool{New: func() any { return new([gulp]byte) }}
 
 // Owner is told of a connection, in the loop. Down comes once and last, and not after Close.
@@ -151,11 +157,14 @@
 func (c *Conn) swallow() error {
 	b := gulps.Get().(*[gulp]byte)
 	defer gulps.Put(b)
-	for {
-		if _, err := c.net.Read(b[:]); err != nil {
+	for reads, bytes := 1, 0; ; reads++ {
+		n, err := c.net.Read(b[:])
+		if err != nil {
 			return err
 		}
-		time.Sleep(rest)
+		if bytes += n; reads > briskReads || bytes > briskBytes {
+			time.Sleep(rest)
+		}
 	}
 }
 
@@ -291,19 +300,40 @@
 
 // Left tells the same of a connection that nobody drives yet.
 func Left(nc net.Conn) (left bool) {
+	peek(nc, func(fd, n int, err error) {
+		left = n == 0 && err == nil || errors.Is(err, unix.ECONNRESET)
+		if n > 0 { // its end may be behind bytes that nobody has read
+			ends := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+			_, err := unix.Poll(ends, 0)
+			left = err == nil && ends[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		}
+	})
+	return left
+}
+
+// Readable tells whether there is something that has not been read, an end among it.
+func (c *Conn) Readable() (is bool) {
+	if c.ended {
+		return true
+	}
+	peek(c.net, func(_, _ int, err error) { is = !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) })
+	return is
+}
+
+// peek looks at what the system holds of a connection.
+func peek(nc net.Conn, look func(fd, n int, err error)) {
 	socket, is := nc.(syscall.Conn)
 	if !is {
-		return false
+		return
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return
 	}
 	raw.Control(func(fd uintptr) {
 		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		left = n == 0 && err == nil || errors.Is(err, unix.ECONNRESET)
+		look(int(fd), n, err)
 	})
-	return left
 }
 
 // Sever ends the reading for all processes that have the socket: none may go on where another has given up.
@@ -331,7 +361,6 @@
 }
 
 func (c *Conn) shut() {
-	delete(c.share.flushing, c)
 	if tcp, is := c.net.(*net.TCPConn); is {
 		tcp.CloseWrite()
 	}
@@ -340,6 +369,8 @@
 		c.Close()
 		return
 	}
+	c.share.flushing[c] = struct{}{}
+	c.loop.After(arrives, func() { delete(c.share.flushing, c) })
 	c.loop.After(lingers, func() { c.Close() })
 }
 
@@ -512,8 +543,8 @@
 	}
 }
 
-// Flushed tells that no connection whose owner has done with it has bytes left to send: an end of the program before
-// that would cost its peer an answer.
+// Flushed tells that no connection whose owner has done with it has bytes left to send, or has just sent its last: an end of
+// the program before that could cost its peer an answer.
 func (s *Share) Flushed() bool { return len(s.flushing) == 0 }
 
 // Room tells how many more descriptors there are, with none given up for them.
@@ -539,8 +570,8 @@
 		use, since := c.use, c.since
 		s.parting[c] = struct{}{}
 		c.Detach(func() {
-			if delete(s.parting, c); c.use != use || c.since != since {
-				c.Attach() // it has gone on
+			if delete(s.parting, c); c.use != use || c.since != since || c.Readable() {
+				c.Attach() // it has gone on, or goes on just now
 				return
 			}
 			c.crowdedOut()
--- a/internal/workers/line.go
+++ b/internal/workers/line.go
@@ -68,7 +68,7 @@
 		}
 		w.idle = slices.Delete(w.idle, n, n+1)
 		l.expiry.Stop()
-		if rested > f.keeps() {
+		if rested > f.keeps() || l.c.Readable() { // its end, or an answer to nothing, that has not been read yet
 			l.c.Close()
 			continue
 		}
@@ -279,6 +279,9 @@
 			e = conn.Stale
 		}
 	}
+	if e == conn.Closed && l.parser.Started() {
+		e = conn.Reset // an answer that breaks off: no word on the request
+	}
 	a := l.ask
 	switch {
 	case a == nil:
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -23,6 +23,7 @@
 	keepLeast    = 20 * time.Millisecond // a connection that lasts no longer is not kept at all
 	keepAgain    = 5 * time.Second       // after that much quiet connections are kept twice as long
 	earlyMost    = 50 * time.Millisecond // that an answer waits for the word that its request has gone out
+	leastTold    = 0.001                 // seconds left that an attempt can tell its worker
 )
 
 // Invocation is one as it goes to a worker.
@@ -34,6 +35,8 @@
 	GivenUp            time.Duration // when its client stops waiting
 	Once               bool          // it must never run twice
 	Hint               float64       // what it says of its work, in seconds; 0: nothing
+
+	had []*worker // to which it has been written
 }
 
 // News is what a worker calls back about a forward.
@@ -55,6 +58,7 @@
 	Event   func(dispatch.Event)
 	Deliver func(inv dispatch.InvID, result string) // to the client, unless it is gone or has its answer
 	Owed    func(dispatch.InvID) bool               // whether its client still waits for an answer
+	Waits   func(dispatch.InvID) bool               // the same at the moment of a send, with the kernel asked
 	Wrote   func()                                  // a forward has been written whole
 	Counts  Counts
 
@@ -89,6 +93,8 @@
 	number   int
 	worker   *worker
 	ask      *ask // until the worker has taken it
+	written  bool // some of it may have gone out
+	repeats  bool // its worker has had the invocation before: news may be late and of that time
 	taken    bool // by a 202: the connection is free, the worker's slot is not
 	began    bool // its worker has told so
 	deadline *conn.Alarm
@@ -145,6 +151,7 @@
 			Closed: !f.Owed(inv.Inv)})
 		return
 	}
+	chosen := w.entry
 	f.Counts.Sent++
 	f.byNumber[number{inv.Inv, fwd}], f.byName[name{inv.ID, w.uid}] = o, o
 	o.deadline = f.loop.After(inv.GivenUp-f.loop.Now(), func() { f.end(o, conn.Expired, nil) })
@@ -152,15 +159,19 @@
 		wrote: f.Wrote,
 		alone: inv.Once,
 		request: func() ([]byte, conn.Ending) {
-			// The connection may have taken its time to come up: nothing is sent to a worker that drains by now, nor for a
-			// client that has left or has its answer, which no cancel tells where the settings allow none.
-			if w.entry.Standing != dispatch.Ready {
+			// The connection may have taken its time to come up: nothing is sent to a worker that drains by now, or is
+			// elsewhere or started anew since it was chosen; nor past the client timeout, nor for a client that has left or
+			// has its answer, which no cancel tells where the settings allow none.
+			now := w.entry
+			if now.Standing != dispatch.Ready || now.Start != chosen.Start || now.Zone != chosen.Zone || now.Cell != chosen.Cell {
 				return nil, conn.Withheld
 			}
-			if !f.Owed(inv.Inv) {
+			left := (inv.GivenUp - f.loop.Now()).Seconds()
+			if left < leastTold || !f.Waits(inv.Inv) {
 				return nil, conn.Unsent
 			}
-			left := max(0, inv.GivenUp-f.loop.Now()).Seconds()
+			o.written, o.repeats = true, slices.Contains(inv.had, w)
+			inv.had = append(inv.had, w)
 			return http1.Request(inv.Method, inv.Target, w.endpoint, inv.Body,
 				append(slices.Clip(inv.Fields), http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...), conn.Open
 		},
@@ -226,13 +237,13 @@
 	delete(f.byNumber, key)
 	delete(f.byName, name{o.inv.ID, o.worker.uid})
 	o.deadline.Stop()
-	if o.began && e.NeverRan() {
-		e = conn.Lost // whatever says so now, its worker had begun it
+	if o.began && e.NeverRan() || e == conn.HandedBack && o.repeats && o.inv.Once {
+		e = conn.Lost // whatever says so now, its worker had begun it; or it says so of an earlier forward
 	}
 	switch a := o.ask; {
 	case a == nil:
-	case e == conn.CalledOff || e == conn.Expired:
-		a.drop() // before the 202 a forward is given up by closing the connection
+	case e == conn.CalledOff || e == conn.Expired || !o.written:
+		a.drop() // before the 202 a forward is given up by closing the connection; one that comes up must not send it any more
 	default: // news came before the 202, which may still follow
 		a.done = func(*http1.Message, conn.Ending) {}
 		a.limit = f.loop.After(afterNews, a.drop)
@@ -309,6 +320,10 @@
 		f.Counts.Strange++
 		return false
 	}
+	if !o.written && (n.State != "done" || n.Result == nil) {
+		f.Counts.Strange++ // it is late, and of an earlier forward to that worker: nothing of this one has gone out
+		return true
+	}
 	n.Load = o.worker.said(n.Load, f.site.Report.Blank())
 	sign := dispatch.Sign{Inv: o.inv.Inv, Worker: o.worker.entry.Worker, Forward: o.number, Done: n.Share}
 	switch n.State {
@@ -361,7 +376,7 @@
 // Keep enters a forward that another process has sent and that its worker has taken.
 func (f *Fleet) Keep(inv *Invocation, fwd int, to dispatch.WorkerID) {
 	w := f.workers[to]
-	o := &forward{inv: inv, number: fwd, worker: w, taken: true}
+	o := &forward{inv: inv, number: fwd, worker: w, written: true, taken: true}
 	f.byNumber[number{inv.Inv, fwd}], f.byName[name{inv.ID, w.uid}] = o, o
 	o.deadline = f.loop.After(inv.GivenUp-f.loop.Now(), func() { f.end(o, conn.Expired, nil) })
 }
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -102,6 +102,7 @@
 		s.closed[inv] = true
 	}
 	s.Owed = func(inv dispatch.InvID) bool { return !s.closed[inv] }
+	s.Waits = s.Owed
 	s.stand(dispatch.Ready)
 	return s
 }
