Forced tests of gone clients and of the instant of a close; time on the way counts in a hand-over

Passing an invocation to a successor took its ages and the time left as of the start of the pass: one that hung for up to a second made the window for repeats and the client timeout last that much too long, there and when it came back. News that gives work back once more is no proof that a second forward to the same worker never ran, for work that must not run twice.

--- a/cmd/stoatweir/crossings_test.go
+++ b/cmd/stoatweir/crossings_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +17,8 @@
 	"github.com/sirupsen/logrus"
 
 	"stoatweir/dispatch"
+	"stoatweir/internal/clients"
+	"stoatweir/internal/discovery"
 	"stoatweir/internal/handover"
 	"stoatweir/internal/settings"
 	"stoatweir/internal/workers"
@@ -270,3 +274,104 @@
 	// sale false
 	// in hand before: false true
 }
+
+// What is passed on goes by the time that it has been on its way for: the work's client waits no longer for that, and the
+// window for its repeats does not last longer. What comes back is as old as it is.
+func TestTimeOnTheWay(t *testing.T) {
+	const way, left, age = 400 * time.Millisecond, 5 * time.Second, 2 * time.Second
+	serve := func() *service {
+		node, err := settings.ParseNode([]byte(`{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"Operations":[
+			{"Name":"keyed","Effect":"idempotency_key","DedupWindow":3}]}}`), func(string) string { return "" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		s, err := newService(node, logrus.NewEntry(log))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.life.Knows(0)
+		return s
+	}
+	s := serve()
+	worker := netip.MustParseAddrPort("127.0.0.1:9")
+	s.fleet.List(discovery.List{Form: dispatch.ListWhole, Workers: []discovery.Worker{{UID: "s-1", Endpoint: worker.String(),
+		Entry: dispatch.Entry{Worker: worker, Standing: dispatch.Ready}}}})
+	record := dispatch.Resumed{Arrival: dispatch.Arrival{Budget: left}, Waited: age, Age: age,
+		Tries: []dispatch.Try{{Worker: worker, Age: age, Began: -1, Heard: age / 2, Out: true}}}
+	old := record
+	old.Budget, old.Waited, old.Age = left-way, age+way, age+way
+	old.Tries = []dispatch.Try{{Worker: worker, Age: age + way, Began: -1, Heard: age/2 + way, Out: true}}
+	near := func(what string, got, want time.Duration) {
+		if d := (got - want).Abs(); d > way/2 {
+			t.Error(what, ": ", got, " for ", want)
+		}
+	}
+	alike := func(what string, events []dispatch.Event) {
+		if len(events) != 1 {
+			t.Fatal(what, events)
+		}
+		got := events[0].(dispatch.Resumed)
+		near(what+", budget", got.Budget, old.Budget)
+		near(what+", waited", got.Waited, old.Waited)
+		near(what+", age", got.Age, old.Age)
+		for n, try := range got.Tries {
+			near(what+", try", try.Age, old.Tries[n].Age)
+			near(what+", heard", try.Heard, old.Tries[n].Heard)
+			if try.Began != -1 {
+				t.Error(what, ", begun: ", try.Began)
+			}
+		}
+	}
+
+	pass := func(spent time.Duration) bool { // it has taken as long as that
+		client, far, err := pipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		text, err := json.Marshal(legacy{ID: fmt.Sprint(spent), Method: "POST", Target: "/keyed/k", At: uptime() - spent, Left: left, Name: "keyed",
+			Operation: s.site.Deployment.Operations[0], Timeout: s.site.Timeouts[0], Record: record, Workers: []string{"s-1"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s.inherit(handover.Message{File: far, Pass: &handover.Passed{Invocation: text}})
+	}
+	if !pass(way) {
+		t.Fatal("not kept")
+	}
+	alike("passed", s.events)
+	for _, j := range s.invs {
+		near("until it is given up", j.GivenUp-s.loop.Now(), left-way)
+	}
+	if pass(left) {
+		t.Error("kept for nobody")
+	}
+
+	s = serve()
+	b := &bond{service: s}
+	j := &tracked{Invocation: &workers.Invocation{Inv: 1}}
+	record.Tries[0].Out = false
+	b.takeBack(&parcel{Parcel: &clients.Parcel{Inv: 1}, j: j, record: record, since: s.loop.Now() - way})
+	alike("given back", s.events)
+}
+
+// pipe is a connection of which one side is a file, as it comes from another process.
+func pipe() (client net.Conn, far *os.File, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	defer l.Close()
+	if client, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		return nil, nil, err
+	}
+	c, err := l.Accept()
+	if err != nil {
+		return nil, nil, err
+	}
+	defer c.Close()
+	far, err = c.(*net.TCPConn).File()
+	return client, far, err
+}
--- a/cmd/stoatweir/pass.go
+++ b/cmd/stoatweir/pass.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"stoatweir/dispatch"
 	"stoatweir/internal/clients"
 	"stoatweir/internal/conn"
@@ -22,6 +24,7 @@
 type legacy struct {
 	ID, Method, Target string
 	Fields             []http1.Field
+	At                 time.Duration // on the machine's clock: all ages, and what is left, are as of then
 	Left               time.Duration // until its client stops waiting
 	Name, Tenant       string
 	Operation          dispatch.Operation
@@ -30,9 +33,35 @@
 	Workers            []string // of its tries
 }
 
+// uptime is a clock that both processes see.
+func uptime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
+
+// aged is a record some time later. One that has been on its way for long, to a successor that hangs and back, would have
+// the window for repeats last by that much too long.
+func aged(r dispatch.Resumed, by time.Duration) dispatch.Resumed {
+	r.Budget, r.Waited, r.Age = r.Budget-by, r.Waited+by, r.Age+by
+	r.Tries = slices.Clone(r.Tries)
+	for n := range r.Tries {
+		t := &r.Tries[n]
+		for _, age := range []*time.Duration{&t.Age, &t.Began, &t.Heard} {
+			if *age >= 0 {
+				*age += by
+			}
+		}
+	}
+	return r
+}
+
 // parcel is on its way.
 type parcel struct {
 	*clients.Parcel
+	since  time.Duration
 	j      *tracked
 	record dispatch.Resumed
 	late   *conn.Alarm
@@ -47,7 +76,7 @@
 			return
 		}
 		b.number++
-		sent := &parcel{Parcel: p}
+		sent := &parcel{Parcel: p, since: s.loop.Now()}
 		m := handover.Message{Kind: handover.Pass, Number: b.number, Socket: p.Socket,
 			Pass: &handover.Passed{Read: p.Read, News: p.News, Fresh: p.Fresh}}
 		if p.Inv != 0 {
@@ -85,7 +114,7 @@
 }
 
 func (s *service) legacy(j *tracked, r dispatch.Resumed) legacy {
-	l := legacy{ID: j.ID, Method: j.Method, Target: j.Target, Fields: j.Fields, Left: j.GivenUp - s.loop.Now(), Record: r,
+	l := legacy{ID: j.ID, Method: j.Method, Target: j.Target, Fields: j.Fields, At: uptime(), Left: j.GivenUp - s.loop.Now(), Record: r,
 		Name: s.site.Operations[j.operation], Operation: s.site.Deployment.Operations[j.operation],
 		Timeout: s.site.Timeouts[j.operation]}
 	if r.Tenant < len(s.site.Tenants) {
@@ -125,7 +154,7 @@
 			s.fleet.Keep(p.j.Invocation, fwd, t.Worker)
 		}
 	}
-	s.events = append(s.events, p.record)
+	s.events = append(s.events, aged(p.record, s.loop.Now()-p.since))
 }
 
 // lost ends all passes that the successor's end has caught under way.
@@ -158,6 +187,10 @@
 		if json.Unmarshal(m.Pass.Invocation, &l) == nil {
 			operation, known = s.heir(&l)
 		}
+		if way := uptime() - l.At; l.At > 0 && way > 0 { // the program before this one may not tell
+			l.Left, l.Record = l.Left-way, aged(l.Record, way)
+			known = known && l.Left > 0
+		}
 		if !known {
 			nc.Close()
 			return false
@@ -177,6 +210,7 @@
 	t := &tracked{Invocation: j, operation: operation, forwards: len(l.Record.Tries)}
 	s.invs[inv] = t
 	for fwd, try := range l.Record.Tries {
+		s.fleet.Had(j, try.Worker)
 		if try.Out {
 			t.out++
 			s.fleet.Keep(j, fwd, try.Worker)
--- a/internal/clients/crossings_test.go
+++ b/internal/clients/crossings_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"strings"
 	"syscall"
@@ -15,6 +16,7 @@
 
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
+	"stoatweir/internal/discovery"
 	"stoatweir/internal/settings"
 	"stoatweir/internal/workers"
 )
@@ -108,6 +110,194 @@
 	// taken: 0
 }
 
+// Clients leave together while the loop has no time for them. None of their invocations may be sent on, whatever stands in the
+// inbox: at the moment of a send the kernel tells.
+func TestLeaveUnheard(t *testing.T) {
+	for name, leave := range map[string]func(c *net.TCPConn){
+		"close":                  func(c *net.TCPConn) { c.Close() },
+		"half close":             func(c *net.TCPConn) { c.CloseWrite() },
+		"reset":                  func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+		"close behind its bytes": func(c *net.TCPConn) { c.Write(make([]byte, 10000)); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, d, addr, shut := open(36)
+			defer shut()
+			withdrawn := 0
+			d.Took, d.Event = func(*workers.Invocation, int) {}, func(e dispatch.Event) {
+				if _, is := e.(dispatch.Withdrawn); is {
+					withdrawn++
+				}
+			}
+			var all []*net.TCPConn
+			for n := range 30 {
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				c.Write([]byte(strings.Replace(job, "9b1f", fmt.Sprint("id", n), 1)))
+				all = append(all, c.(*net.TCPConn))
+			}
+			until(l, "those in hand", func() bool { return d.InHand() == len(all) })
+			for _, c := range all[1:] {
+				leave(c)
+			}
+			end := time.Now().Add(5 * time.Second) // for the network; the loop does not run
+			stays := 0
+			for _, inv := range d.Rest() {
+				for wait := d.Rest()[0] != inv || stays > 0; wait && d.Waits(inv) && time.Now().Before(end); {
+				}
+				if d.Waits(inv) {
+					stays++
+				}
+			}
+			if stays != 1 || withdrawn != len(all)-1 || d.InHand() != 1 {
+				t.Errorf("%d stay, %d withdrawn, %d in hand", stays, withdrawn, d.InHand())
+			}
+			until(l, "the notes", func() bool { l.After(time.Millisecond, func() {}); return d.share.Used() == 1 })
+			if withdrawn != len(all)-1 {
+				t.Errorf("%d withdrawn", withdrawn)
+			}
+		})
+	}
+}
+
+// The same over a whole way: a connection to a worker is up, its client leaves, and the loop meets the connection first.
+func TestLeavesAsConnectionComesUp(t *testing.T) {
+	l, d, addr, shut := open(10)
+	defer shut()
+	worker, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer worker.Close()
+	f := workers.NewFleet(l, d.site, l.Share(4))
+	id := netip.MustParseAddrPort(worker.Addr().String())
+	stand := func(s dispatch.Standing) {
+		f.List(discovery.List{Form: dispatch.ListDelta, Workers: []discovery.Worker{{UID: "s-1", Endpoint: id.String(),
+			Entry: dispatch.Entry{Worker: id, Standing: s}}}})
+	}
+	stand(dispatch.Ready)
+	f.Owed, f.Waits, f.Wrote = d.Owed, d.Waits, func() {}
+	var ends []dispatch.Event
+	f.Event = func(e dispatch.Event) { ends = append(ends, e) }
+	var j *workers.Invocation
+	d.Took, d.Event = func(given *workers.Invocation, _ int) { j = given }, func(dispatch.Event) {}
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Write([]byte(job))
+	until(l, "the job", func() bool { return d.InHand() == 1 })
+	f.Forward(j, 0, id)
+	far, err := worker.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	until(l, "the end", func() bool { return len(ends) == 1 })
+	if o := ends[0].(dispatch.Outcome); o.Result != dispatch.NotSent || !o.Closed {
+		t.Errorf("%+v", o)
+	}
+	stand(dispatch.Gone)
+	if b, err := io.ReadAll(far); len(b) > 0 || err != nil {
+		t.Errorf("the worker got %q, %v", b, err)
+	}
+}
+
+// A client that has left behind bytes which nobody has read is not taken in.
+func Example_leftBehindUnread() {
+	l, d, addr, shut := open(10)
+	defer shut()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		panic(err)
+	}
+	pad := "X-Pad: " + strings.Repeat("x", 256-len(job)-len("X-Pad: \r\n")) // the first read ends with the request
+	c.Write([]byte(strings.Replace(job, "X-Budget", pad+"\r\nX-Budget", 1) + strings.Repeat("more", 1000)))
+	c.Close() // the loop does not run yet
+	until(l, "the end of the connection", func() bool { return d.Counts.Connections == 1 && d.share.Used() == 0 })
+	fmt.Println("taken:", d.Ledger.Figures(0, 0).Classes[0].Taken)
+	// Output:
+	// taken: 0
+}
+
+// A client closes with its request's body half in, or half its head: nothing is taken.
+func Example_leavesInRequest() {
+	l, d, addr, shut := open(10)
+	defer shut()
+	for n, part := range []string{job[:len(job)-2], job[:50], strings.Replace(job, "Content-Length: 4\r\n\r\nbody",
+		"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", 1)} {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			panic(err)
+		}
+		c.Write([]byte(part))
+		until(l, "half a request", func() bool {
+			for v := range d.visits {
+				return v.parser.Started()
+			}
+			return false
+		})
+		c.Close()
+		until(l, "the end of the connection", func() bool { return d.Counts.Connections == n+1 && d.share.Used() == 0 })
+	}
+	fmt.Println("taken:", d.Ledger.Figures(0, 0).Classes[0].Taken)
+	// Output:
+	// taken: 0
+}
+
+// A request that comes between the last read of an idle connection and its close, and that nobody has read, is served: closing
+// over it would reset the connection.
+func TestUnreadWhenIdleConnectionsEnd(t *testing.T) {
+	for name, ends := range map[string]func(d *Door){
+		"a stop":      func(d *Door) { manner.Shuts = true; d.Follow() },
+		"descriptors": func(d *Door) { d.share.Resize(0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, d, addr, shut := open(10)
+			defer shut()
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			until(l, "the connection", func() bool { return len(d.visits) == 1 })
+			var v *visit
+			for v = range d.visits {
+				v.came -= firstIn
+				v.c.Set(conn.Idle)
+			}
+			ends(d) // the reading has been stopped, and the loop does not run
+			c.Write([]byte(job))
+			for end := time.Now().Add(5 * time.Second); !v.c.Readable() && time.Now().Before(end); {
+			}
+			answer := make(chan string, 1)
+			go func() {
+				b := make([]byte, 1024)
+				n, err := c.Read(b)
+				answer <- fmt.Sprint(string(b[:n]), err)
+			}()
+			got := ""
+			l.After(0, func() {})
+			until(l, "an answer", func() bool {
+				for _, inv := range d.Rest() {
+					d.Deliver(inv, "result")
+				}
+				l.After(time.Millisecond, func() {})
+				select {
+				case got = <-answer:
+				default:
+				}
+				return got != ""
+			})
+			if !strings.HasPrefix(got, "HTTP/1.1 200 OK") {
+				t.Errorf("%q", got)
+			}
+		})
+	}
+}
+
 // A connection that comes just before the end has its request served; who has come and says nothing goes with the others.
 // The door is closed only once nobody is on the way in.
 func Example_lastToCome() {
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -66,7 +67,8 @@
 	rest             []byte // waits for room in out
 	first            []byte // is being read into, as long as there is no ring
 	toRead, toWrite  chan []byte
-	reading, writing bool // a run of bytes is with the goroutine
+	reading, writing bool        // a run of bytes is with the goroutine
+	arrived          atomic.Bool // something has been read, or the end, and waits in the inbox
 	up, ended, quits bool
 	ignores          bool   // what still comes is thrown away
 	deaf             bool   // nothing more is read
@@ -132,6 +134,7 @@
 			} else {
 				n, err = c.net.Read(b)
 			}
+			c.arrived.Store(true)
 			c.loop.Put(note{Conn: c, n: n, err: err, what: read})
 		}
 	}()
@@ -177,6 +180,7 @@
 		return
 	case read:
 		c.reading = false
+		c.arrived.Store(false)
 		if c.detached != nil && errors.Is(n.err, os.ErrDeadlineExceeded) {
 			n.err = nil // that is what ended the read
 		}
@@ -311,9 +315,9 @@
 	return left
 }
 
-// Readable tells whether there is something that has not been read, an end among it.
+// Readable tells whether something has come that its owner has not met yet, an end among it.
 func (c *Conn) Readable() (is bool) {
-	if c.ended {
+	if c.ended || c.arrived.Load() {
 		return true
 	}
 	peek(c.net, func(_, _ int, err error) { is = !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) })
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // owner writes down what it is told.
@@ -283,6 +286,90 @@
 	}
 }
 
+// A peer that has sent much and gone is seen to have gone as fast as its bytes can be thrown away.
+func TestGoneBehindMuch(t *testing.T) {
+	defer func(before time.Duration) { rest = before }(rest)
+	rest = time.Hour
+	l := NewLoop(time.Now())
+	s := l.Share(10)
+	near, far := net.Pipe()
+	o := &owner{}
+	c := s.Adopt(near, o)
+	c.Ignore()
+	go func() {
+		far.Write(make([]byte, 8<<20)) // what the system may hold
+		far.Close()
+	}()
+	await(l, "the end", func() bool { return len(o.seen) > 0 })
+}
+
+// A last answer is on its way until its peer has ended the connection, for some time at most.
+func TestLastAnswerArrives(t *testing.T) {
+	for name, closes := range map[string]bool{"its peer ends": true, "its peer stays": false} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLoop(time.Now())
+			s := l.Share(10)
+			may := make(chan bool)
+			addr, shut := peer(func(c net.Conn) {
+				io.ReadAll(c)
+				if <-may; closes {
+					c.Close()
+				}
+			})
+			defer shut()
+			up := &owner{}
+			c := s.Dial(addr, time.Second, up)
+			await(l, "the connection", func() bool { return len(up.seen) > 0 })
+			c.Quit()
+			if s.Flushed() {
+				t.Error("at once")
+			}
+			close(may)
+			began := l.Now()
+			await(l, "the end", func() bool { l.After(time.Millisecond, func() {}); return s.Flushed() })
+			if took := l.Now() - began; closes != (s.Used() == 0) || !closes && took < arrives {
+				t.Errorf("after %v, %d in use", took, s.Used())
+			}
+		})
+	}
+}
+
+// No connection holds small writes back: a close over unread bytes would take them along.
+func TestNoDelay(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	loop := NewLoop(time.Now())
+	s, o := loop.Share(10), &owner{}
+	dialled := s.Dial(l.Addr().String(), time.Second, o)
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	await(loop, "the connection", func() bool { return len(o.seen) > 0 })
+	f, err := accepted.(*net.TCPConn).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	inherited, err := net.FileConn(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, nc := range map[string]net.Conn{"dialled": dialled.net, "accepted": accepted, "inherited": inherited} {
+		raw, err := nc.(syscall.Conn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw.Control(func(fd uintptr) {
+			if on, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NODELAY); on == 0 || err != nil {
+				t.Error(name, on, err)
+			}
+		})
+	}
+}
+
 // Alarms ring in order, a stopped one not at all, also when it is stopped by another that rings first.
 func Example_alarms() {
 	l := NewLoop(time.Now())
--- a/internal/workers/crossings_test.go
+++ b/internal/workers/crossings_test.go
@@ -229,3 +229,186 @@
 		}()
 	}
 }
+
+// What an attempt tells its worker of the time left is counted when it is written, and nothing is written once that is over.
+func Example_timeTold() {
+	s := perform()
+	j := s.job(1)
+	s.Forward(j, 0, s.id)
+	request := s.byNumber[number{1, 0}].ask.request
+	for _, late := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 0} { // the connection takes so long
+		j.GivenUp -= late
+		text, why := request()
+		_, told, _ := strings.Cut(string(text), "X-Budget: ")
+		told, _, _ = strings.Cut(told, "\r\n")
+		fmt.Printf("%q %v\n", told, why)
+	}
+	// Output:
+	// "5.000" open
+	// "3.000" open
+	// "" unsent
+	// "" unsent
+}
+
+// A worker that is in another zone or cell, or has started anew, when a connection to it comes up is not the one that was
+// chosen: what may go there, and how much, has changed.
+func Example_comingUpChanged() {
+	for _, change := range []func(*dispatch.Entry){
+		func(*dispatch.Entry) {},
+		func(e *dispatch.Entry) { e.Zone++ },
+		func(e *dispatch.Entry) { e.Cell++ },
+		func(e *dispatch.Entry) { e.Restarted, e.Start = true, 7 },
+	} {
+		s := perform(took)
+		s.Forward(s.job(1), 0, s.id)
+		e := dispatch.Entry{Worker: s.id, Standing: dispatch.Ready}
+		change(&e)
+		s.List(discovery.List{Form: dispatch.ListDelta, Workers: []discovery.Worker{{UID: "s-1", Endpoint: s.id.String(), Entry: e}}})
+		s.until(1, 0)
+	}
+	// Output:
+	// inv 1 forward 0: taken=true started=false done=0
+	// inv 1 forward 0 ends: 4 closed=false load=false
+	// inv 1 forward 0 ends: 4 closed=false load=false
+	// inv 1 forward 0 ends: 4 closed=false load=false
+}
+
+// News of an earlier forward to the same worker comes again while a connection for the next one comes up. It ends nothing that
+// has not gone out; a result is one all the same, and then nothing goes out.
+func Example_newsOfBefore() {
+	first := func(s *stage, j *Invocation) {
+		s.Forward(j, 0, s.id)
+		s.until(1, 1)
+		s.Take(News{ID: j.ID, From: "s-1", State: "returned"})
+		s.byUID["s-1"].shutIdle()
+		s.until(1, 1)
+		s.Forward(j, 1, s.id)
+	}
+	s := perform(took, took)
+	first(s, s.job(1))
+	for _, state := range []string{"started", "returned", "failed", "lost"} {
+		s.Take(News{ID: "id1", From: "s-1", State: state})
+	}
+	s.until(1, 1)
+	fmt.Println("out:", s.Out(), "strange:", s.Counts.Strange)
+	s = perform(took)
+	first(s, s.job(2))
+	s.Take(News{ID: "id2", From: "s-1", State: "done", Result: result("fine")})
+	s.until(1, 0)
+	s.settle("no connection", func() bool { return s.share.Used() == 0 })
+	fmt.Println("out:", s.Out(), "dials that went on:", len(s.byUID["s-1"].idle))
+	// Output:
+	// connection 1: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 0: taken=true started=false done=0
+	// connection 1 ends
+	// inv 1 forward 0 ends: 2 closed=false load=false
+	// connection 2: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 1: taken=true started=false done=0
+	// out: 1 strange: 4
+	// connection 1: POST /render/7f HTTP/1.1 id2 body
+	// inv 2 forward 0: taken=true started=false done=0
+	// connection 1 ends
+	// inv 2 forward 0 ends: 2 closed=false load=false
+	// to the client: 2 fine
+	// inv 2 forward 1 ends: 0 closed=true load=false
+	// out: 0 dials that went on: 0
+}
+
+// A worker that has given work back, has got it again and says once more that it gives it back may mean the first time. What
+// must never run twice is not free to go on then.
+func Example_givenBackTwice() {
+	for _, once := range []bool{false, true} {
+		s := perform(took, took)
+		j := s.job(1)
+		j.Once = once
+		for fwd := range 2 {
+			s.Forward(j, fwd, s.id)
+			s.until(1, 1)
+			s.byUID["s-1"].idle[0].parked -= strayMost
+			s.Take(News{ID: "id1", From: "s-1", State: "returned"})
+			s.until(1, 0)
+		}
+	}
+	// Output:
+	// connection 1: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 0: taken=true started=false done=0
+	// inv 1 forward 0 ends: 2 closed=false load=false
+	// connection 1: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 1: taken=true started=false done=0
+	// inv 1 forward 1 ends: 2 closed=false load=false
+	// connection 1: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 0: taken=true started=false done=0
+	// inv 1 forward 0 ends: 2 closed=false load=false
+	// connection 1: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 1: taken=true started=false done=0
+	// inv 1 forward 1 ends: 5 closed=false load=false
+}
+
+// An answer that breaks off, in its head, body, a chunk or between chunks, is no word on the request, which may have run; one
+// that never ends is waited for until the client timeout, and its connection ends.
+func Example_brokenOff() {
+	parts := []string{"HTTP/1.1 20-", "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\n-",
+		"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 9\r\n\r\nhalf-",
+		"HTTP/1.1 400 Bad Request\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal-",
+		"HTTP/1.1 400 Bad Request\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n-"}
+	s := perform(append(parts, "HTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\nhalf")...)
+	for n := range parts {
+		s.Forward(s.job(dispatch.InvID(1+n)), 0, s.id)
+		s.until(1, 1)
+	}
+	j := s.job(9)
+	j.GivenUp = s.loop.Now() + 300*time.Millisecond
+	s.Forward(j, 0, s.id)
+	s.until(1, 2)
+	fmt.Println("sockets:", s.share.Used())
+	// Output:
+	// connection 1: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 0 ends: 5 closed=false load=false
+	// connection 2: POST /render/7f HTTP/1.1 id2 body
+	// inv 2 forward 0 ends: 5 closed=false load=false
+	// connection 3: POST /render/7f HTTP/1.1 id3 body
+	// inv 3 forward 0 ends: 5 closed=false load=false
+	// connection 4: POST /render/7f HTTP/1.1 id4 body
+	// inv 4 forward 0 ends: 5 closed=false load=false
+	// connection 5: POST /render/7f HTTP/1.1 id5 body
+	// inv 5 forward 0 ends: 5 closed=false load=false
+	// connection 6: POST /render/7f HTTP/1.1 id9 body
+	// connection 6 ends
+	// inv 9 forward 0 ends: 3 closed=false load=false
+	// sockets: 0
+}
+
+// A kept connection that its worker has ended, or on which half a line stands, is not used, also where nobody has read that
+// yet: the request would be lost, or take the rest of that line for its answer.
+func TestUnreadOnKeptConnection(t *testing.T) {
+	for name, does := range map[string]func(*stage){
+		"an end":      func(s *stage) { s.conns[0].Close() },
+		"half a line": func(s *stage) { s.say(1, "HTTP/1.1 20") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := perform(took, took)
+			taken := 0
+			s.Event = func(e dispatch.Event) {
+				if sign, is := e.(dispatch.Sign); is && sign.Taken {
+					taken++
+				} else {
+					t.Errorf("%+v", e)
+				}
+			}
+			s.Forward(s.job(1), 0, s.id)
+			s.settle("the first", func() bool { return taken == 1 })
+			does(s) // and the loop does not run
+			kept := s.byUID["s-1"].idle[0].c
+			for end := time.Now().Add(5 * time.Second); !kept.Readable(); {
+				if time.Now().After(end) {
+					t.Fatal("nothing comes")
+				}
+			}
+			s.Forward(s.job(2), 0, s.id)
+			s.settle("the second", func() bool { return taken == 2 })
+			if s.Counts.Dialled != 2 {
+				t.Error("dialled: ", s.Counts.Dialled)
+			}
+		})
+	}
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -381,6 +381,11 @@
 	o.deadline = f.loop.After(inv.GivenUp-f.loop.Now(), func() { f.end(o, conn.Expired, nil) })
 }
 
+// Had enters that a worker has had an invocation, by another process.
+func (f *Fleet) Had(inv *Invocation, worker dispatch.WorkerID) {
+	inv.had = append(inv.had, f.workers[worker])
+}
+
 // UID is how all schedulers name a worker; empty: it is not known here.
 func (f *Fleet) UID(id dispatch.WorkerID) string {
 	if w := f.workers[id]; w != nil {
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -33,7 +33,8 @@
 	closed map[dispatch.InvID]bool
 }
 
-// perform listens; each request takes the next answer. "-" closes the connection, "" says nothing.
+// perform listens; each request takes the next answer. One that ends in "-" closes the connection behind the rest of it, ""
+// says nothing.
 func perform(answers ...string) *stage {
 	site, err := settings.ParseSite([]byte(`{"Limits": {"Cancel": true, "Probes": true, "ConnIdle": 5, "ConnectTimeout": 0.5},
 		"FamilyInfo": {"ReportX0": "free slots"}, "Report": {"How": "answers", "Names": ["x0"]}}`))
@@ -72,12 +73,10 @@
 					body := make([]byte, size)
 					io.ReadFull(r, body)
 					s.heard <- fmt.Sprintf("connection %d: %s %s%s", n, first, head.Get("X-Call-Id"), body)
-					switch answer := <-script; answer {
-					case "-":
+					answer, ends := strings.CutSuffix(<-script, "-")
+					if c.Write([]byte(answer)); ends {
 						c.Close()
 						return
-					default:
-						c.Write([]byte(answer))
 					}
 				}
 			}()
