--- a/cmd/stoatweir/lab.go
+++ b/cmd/stoatweir/lab.go
@@ -35,7 +35,7 @@
 		SilenceUsage: true, SilenceErrors: true, Run: func(*cobra.Command, []string) { scheduler() }}
 	root.CompletionOptions.DisableDefaultCmd = true
 	lab := &cobra.Command{Use: "lab", Short: "Play described days, and say what a change does"}
-	lab.AddCommand(checkCommand(), runCommand(), compareCommand(), loadCommand(), traceCommand())
+	lab.AddCommand(checkCommand(), runCommand(), compareCommand(), loadCommand(), traceCommand(), scaleCommand(), hollowCommand())
 	root.AddCommand(lab, tenantCommand())
 	return root
 }
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -373,7 +373,10 @@
 	if s.road != nil {
 		told = s.road.Figures()
 	}
+	turns, stored := s.loop.Turns(), memory()
 	text, err := json.Marshal(map[string]any{
+		"turns":      map[string]int64{"count": turns.Count, "worst_us": turns.Worst.Microseconds(), "worst_10s_us": turns.Lately.Microseconds()},
+		"heap_bytes": stored[heapLive], "allocations": stored[heapAllocs], "collections": stored[gcCycles],
 		"peers":       told,
 		"invocations": s.book.Figures(s.fleet.Listed(), s.core.Avoided()), "clients": s.door.Counts, "workers": s.fleet.Counts, "watches": s.list.Calls, "in_hand": s.door.InHand(),
 		"out": s.fleet.Out(), "panics": s.panics, "sockets": s.ours.Used() + s.theirs.Used(), "served_us": spread(s.waits),
--- a/internal/conn/loop.go
+++ b/internal/conn/loop.go
@@ -18,10 +18,30 @@
 	alarms alarms
 	rank   int
 	ended  bool
+	turns  Turns
+	recent [recentSpans]worst
 
 	Panicked func(cause any) // what was being done is dropped and the loop goes on; nil: it ends the program
 }
 
+// Turns is how long the loop was busy without taking anything new in: all that has come waits for so long. It is time on the
+// wall, so whatever takes the core away shows too.
+type Turns struct {
+	Count         int64
+	Worst, Lately time.Duration // since the start; in the last ten seconds or a little more
+}
+
+const (
+	recentSpan  = time.Second
+	recentSpans = 11
+)
+
+// worst is that of one second.
+type worst struct {
+	second int64
+	took   time.Duration
+}
+
 // NewLoop starts the clock.
 func NewLoop(start time.Time) *Loop {
 	return &Loop{inbox: make(chan Note, 1024), orders: make(chan Note, 16), start: start}
@@ -49,12 +69,14 @@
 			wait = l.alarms[0].at - time.Since(l.start)
 		}
 		timer.Reset(max(0, wait))
+		began := time.Duration(0)
 		select {
 		case n := <-l.orders:
-			l.take(n)
+			began = l.take(n)
 		case n := <-l.inbox:
-			l.take(n)
+			began = l.take(n)
 		case <-timer.C:
+			began = time.Since(l.start)
 		}
 		// What has come meanwhile belongs to the same moment for the decisions; no more than that, as a flood of
 		// notes must not keep the alarms from ringing.
@@ -69,7 +91,32 @@
 			l.guard(a.ring)
 		}
 		l.guard(each)
+		l.turned(began)
+	}
+}
+
+// turned enters a turn that has ended.
+func (l *Loop) turned(began time.Duration) {
+	now := time.Since(l.start)
+	took, second := now-began, int64(now/recentSpan)
+	l.turns.Count++
+	l.turns.Worst = max(l.turns.Worst, took)
+	slot := &l.recent[second%recentSpans]
+	if slot.second != second {
+		*slot = worst{second: second}
+	}
+	slot.took = max(slot.took, took)
+}
+
+// Turns tells how long turns took; the present one is not among them.
+func (l *Loop) Turns() Turns {
+	t, second := l.turns, int64(time.Since(l.start)/recentSpan)
+	for _, w := range l.recent {
+		if w.second > second-recentSpans {
+			t.Lately = max(t.Lately, w.took)
+		}
 	}
+	return t
 }
 
 func (l *Loop) ordered() {
@@ -78,9 +125,12 @@
 	}
 }
 
-func (l *Loop) take(n Note) {
+// take tells when it began.
+func (l *Loop) take(n Note) time.Duration {
 	l.now = time.Since(l.start)
+	began := l.now
 	l.guard(n.Take)
+	return began
 }
 
 // guard keeps a mistake in the handling of one message from costing all others their answers.
--- /dev/null
+++ b/internal/lab/scale/hollow.go
@@ -0,0 +1,97 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+)
+
+// A hollow process stands for a part of the fleet that is not measured. It is told what it stands for in one line on its
+// standard input, says in one line that it is ready, and from then on answers each order with one line. It ends with its
+// input, so that it cannot outlive whoever started it.
+
+// Roles of hollow processes.
+const (
+	FleetRole   = "fleet"   // workers, and the list of them
+	ClientsRole = "clients" // those of all schedulers
+	OthersRole  = "others"  // schedulers that only send and take messages
+)
+
+// Part is what a hollow process stands for.
+type Part struct {
+	Role       string
+	Scenario   Scenario
+	Schedulers []string // where each real one listens
+	Host       string   // the address to listen at
+	Peers      []string // where each scheduler of the pool takes messages, by number: the real ones come first
+}
+
+// Order is what a hollow process is asked to do.
+type Order struct {
+	Do    string        // start, stats, stop, lose, return, freeze
+	For   time.Duration // start: so long the pool is filled
+	Zone  int           // lose, return
+	Count int
+}
+
+// Stats are what a hollow process has seen since its start; which of them it tells depends on its role.
+type Stats struct {
+	Discovery string   `json:",omitempty"` // where the list is, once ready
+	Endpoints []string `json:",omitempty"`
+	// of the fleet, by scheduler
+	Starts, Probes, Cancels, News                 []int64 `json:",omitempty"`
+	ProbeBytes, CancelBytes, TakeBytes, NewsBytes []int64 `json:",omitempty"` // with the heads of HTTP
+	Lists, ListBytes                              int64
+	Running, Changes, Strange, NewsFailed         int64
+	// of the clients
+	Offered, Succeeded, Throttled, Errored, Broken, InHand int64
+	LateMost                                               time.Duration
+	// of the other schedulers
+	MessagesIn, MessagesOut, MessageBytesIn, MessageBytesOut int64
+}
+
+// Hollow is the whole of a hollow process.
+func Hollow(ctx context.Context, in io.Reader, out io.Writer) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	lines := bufio.NewReaderSize(in, 1<<20)
+	encode, decode := json.NewEncoder(out), json.NewDecoder(lines)
+	var p Part
+	if err := decode.Decode(&p); err != nil {
+		return fmt.Errorf("hollow: what it stands for can't be read: %w", err)
+	}
+	var player interface {
+		carry(Order) (Stats, error)
+	}
+	var err error
+	switch p.Role {
+	case FleetRole:
+		player, err = newFleet(ctx, p)
+	case ClientsRole:
+		player, err = newClients(ctx, p)
+	case OthersRole:
+		player, err = newOthers(ctx, p)
+	default:
+		err = fmt.Errorf("hollow: %q is no role", p.Role)
+	}
+	if err != nil {
+		return err
+	}
+	for o := (Order{Do: "stats"}); ; {
+		s, err := player.carry(o)
+		if err != nil {
+			return err
+		}
+		if err := encode.Encode(s); err != nil {
+			return err
+		}
+		if err := decode.Decode(&o); err == io.EOF {
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -18,6 +18,9 @@
 	return err
 }
 
+// MarshalText writes one.
+func (s Span) MarshalText() ([]byte, error) { return []byte(s.D().String()), nil }
+
 // D is the span as others count it.
 func (s Span) D() time.Duration { return time.Duration(s) }
 
