--- a/cmd/stoatweir/lab_scale.go
+++ b/cmd/stoatweir/lab_scale.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"os"
-	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -15,9 +14,10 @@
 func scaleCommand() *cobra.Command {
 	var program, asJSON, plot string
 	var only []float64
+	var set []string
 	c := &cobra.Command{Use: "scale SCENARIO", Short: "Measure what a large fleet costs a scheduler: real ones beside hollow processes", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, files []string) error {
-			s, err := scale.Read(files[0])
+			s, err := scale.Read(files[0], set...)
 			if err != nil {
 				return err
 			}
@@ -34,7 +34,10 @@
 					return err
 				}
 			}
-			r.Name, r.Key, r.Command = s.Name, s.Sweep.Key, "stoatweir lab scale "+strings.Join(files, " ")
+			r.Name, r.Key, r.Command = s.Name, s.Sweep.Key, "stoatweir lab scale "+files[0]
+			for _, v := range set {
+				r.Command += " --set '" + v + "'"
+			}
 			values := s.Sweep.Values
 			if len(only) > 0 {
 				values = only
@@ -67,6 +70,7 @@
 		}}
 	c.Flags().StringVar(&program, "bin", "", "the scheduler that is measured, of any checkout; this program if left out")
 	c.Flags().Float64SliceVar(&only, "only", nil, "these `values` of the sweep alone; with --json they are put into what is there")
+	c.Flags().StringArrayVar(&set, "set", nil, "a `key = value` that goes before the file's; may be given more than once")
 	c.Flags().StringVar(&asJSON, "json", "", "a `file` for all figures as JSON")
 	c.Flags().StringVar(&plot, "plot", "", "a `file` for a plot, .png")
 	return c
--- a/internal/lab/scale/process.go
+++ b/internal/lab/scale/process.go
@@ -106,7 +106,7 @@
 
 // usage is what the kernel knows of a process.
 type usage struct {
-	CPU         time.Duration // of user and system
+	CPU, System time.Duration // of user and system; of system alone
 	RSS, Peak   int64         // bytes
 	Descriptors int
 }
@@ -129,7 +129,8 @@
 		if err != nil {
 			return u, err
 		}
-		u.CPU += time.Duration(n) * time.Second / ticks
+		u.System = time.Duration(n) * time.Second / ticks // which comes last
+		u.CPU += u.System
 	}
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
--- a/internal/lab/scale/result.go
+++ b/internal/lab/scale/result.go
@@ -33,6 +33,7 @@
 	StartsPerS   float64 `json:"starts_per_second"`
 	InHand       float64 `json:"in_hand"`
 	Core         float64 `json:"core_percent"`
+	System       float64 `json:"system_percent"`    // of these, in the kernel
 	IdleCore     float64 `json:"idle_core_percent"` // before any load; -1: not measured
 	PerStart     float64 `json:"us_per_start"`
 	Turn         float64 `json:"worst_turn_ms"` // in the window; -1: the program does not tell
@@ -84,9 +85,10 @@
 	m.MessageBytes = rate(float64(first.others.MessageBytesIn+first.others.MessageBytesOut), float64(last.others.MessageBytesIn+last.others.MessageBytesOut))
 	m.Control = m.ProbeBytes + 2*tcpHead*m.ProbesPerS + m.MessageBytes + udpHead*m.MessagesPerS +
 		rate(sum(first.fleet.CancelBytes), sum(last.fleet.CancelBytes)) + 2*tcpHead*m.CancelsPerS
-	cpu, idled := 0.0, 0.0
+	cpu, system, idled := 0.0, 0.0, 0.0
 	for i := range last.used {
 		cpu += (last.used[i].CPU - first.used[i].CPU).Seconds()
+		system += (last.used[i].System - first.used[i].System).Seconds()
 		idled += (idle.used[i].CPU - before.used[i].CPU).Seconds()
 		m.RSS, m.Peak = max(m.RSS, mb(last.used[i].RSS)), max(m.Peak, mb(last.used[i].Peak))
 		m.Descriptors = max(m.Descriptors, last.used[i].Descriptors)
@@ -101,7 +103,7 @@
 			m.TurnEver = max(m.TurnEver, float64(b.Turns.Worst)/1e3)
 		}
 	}
-	m.Core = 100 * cpu / n / seconds
+	m.Core, m.System = 100*cpu/n/seconds, 100*system/n/seconds
 	if s.Idle > 0 {
 		m.IdleCore = 100 * idled / n / idle.at.Sub(before.at).Seconds()
 	}
@@ -173,6 +175,7 @@
 	{"in hand", "%.0f", func(m Step) float64 { return m.InHand }},
 	{"starts/s", "%.1f", func(m Step) float64 { return m.StartsPerS }},
 	{"% of a core", "%.2f", func(m Step) float64 { return m.Core }},
+	{"in the kernel", "%.2f", func(m Step) float64 { return m.System }},
 	{"us a start", "%.0f", func(m Step) float64 { return m.PerStart }},
 	{"worst turn ms", "%.1f", func(m Step) float64 { return m.Turn }},
 	{"RSS MB", "%.0f", func(m Step) float64 { return m.RSS }},
--- a/internal/lab/scale/scenario.go
+++ b/internal/lab/scale/scenario.go
@@ -76,27 +76,32 @@
 // Span is a time in the form of 10s or 250ms.
 type Span = scenario.Span
 
-// Read reads a file.
-func Read(file string) (Scenario, error) {
+// Read reads a file. Each of the settings, written as in the file, goes before what stands there.
+func Read(file string, settings ...string) (Scenario, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return Scenario{}, err
 	}
-	return Parse(file, text)
+	return Parse(file, text, settings...)
 }
 
 func span(d time.Duration) Span { return Span(d) }
 
 // Parse reads a text, fills in what is left out, and names all that is wrong with it.
-func Parse(file string, text []byte) (Scenario, error) {
+func Parse(file string, text []byte, settings ...string) (Scenario, error) {
 	s := Scenario{Seed: 1, Workers: 240, Zones: 15, Slots: 26, Others: 21.6, Schedulers: 1, Told: 15, InHand: 372, Starts: 48,
 		Body: 200, TellsStart: true, ProbePrice: 0.0025, Copies: true, MemoryMB: 256, NewsIdle: span(5 * time.Second),
 		ConnIdle: span(60 * time.Second), Warm: span(23 * time.Second), Objective: span(3900 * time.Millisecond),
 		Fill: span(20 * time.Second), Settle: span(5 * time.Second), Window: span(30 * time.Second)}
-	d := toml.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return s, scenario.Explain(file, err)
+	for n, text := range append([][]byte{text}, lines(settings)...) {
+		d := toml.NewDecoder(bytes.NewReader(text))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&s); err != nil {
+			if n > 0 {
+				file = "setting " + string(text)
+			}
+			return s, scenario.Explain(file, err)
+		}
 	}
 	if len(s.Operations) == 0 {
 		s.Operations = []Operation{{"render", "idempotent"}, {"sale", "deduplicated"}, {"charge", "non-idempotent"}}
@@ -109,6 +114,13 @@
 	return s, errors.Join(all...)
 }
 
+func lines(settings []string) (all [][]byte) {
+	for _, s := range settings {
+		all = append(all, []byte(s))
+	}
+	return all
+}
+
 const (
 	mostWorkers, mostSchedulers, mostTold = 8000, 60, 300
 	mostInHand, mostStarts, mostChanges   = 8000, 2000, 500
