--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,13 +65,16 @@
 		if d.own++; n.hearsay || len(d.keeps) == 0 || d.own%3 == 0 {
 			d.next(n)
 		} else {
-			d.meet(d.keeps[d.own/2%len(d.keeps)]).put(ask{n.view, false})
+			d.ask(d.keeps[d.own/2%len(d.keeps)], n, ask{n.view, false})
 		}
 	case Listing:
 		d.follow(n)
 	case Told:
 		d.hear(n)
+	case look:
+		d.desk.put(n)
 	case Retuned:
+		d.desk.anew()
 		d.tune(n)
 		d.reappoint()
 	case Shared:
@@ -147,7 +150,7 @@
 			n++
 		default:
 			d.order[here], d.order[turn], d.turn = d.order[turn], at, turn+1
-			d.meet(at).put(ask{w.view, w.hearsay})
+			d.ask(at, w, ask{w.view, w.hearsay})
 			return
 		}
 	}
@@ -165,6 +168,7 @@
 }
 
 func (w *worker) read(note any) {
+	w.desk.current(w.at)
 	switch n := note.(type) {
 	case listed:
 		w.lot, w.keeper, w.kept = n.lot, n.keeper, w.tells && n.keeper == w.me
@@ -178,8 +182,7 @@
 		w.hear(n)
 	case bequest:
 		n.to(w)
-	case view:
-		w.all = n
+	case look:
 		w.watch()
 	case ask:
 		w.all, w.seen, w.recheck = n.view, w.now, n.learn && !n.hearsay
@@ -250,30 +253,30 @@
 	}
 }
 
-func (w *worker) show() {
+// estimate tells what the worker's book says at a time.
+func (w *worker) estimate(now time.Duration) {
 	w.open, w.trial, w.known = w.standing == Ready && !w.aside, w.wanted > 0, len(w.figures) > 0
-	w.full, w.busy = w.now < w.fullTill, w.aside || w.recheck
-	w.silent = w.unanswered > 0 && w.now > w.unanswered+upToDate
-	w.mine, w.ours, w.warmth, w.spent = w.held(w.now), w.out(), 1, 0
+	w.full, w.busy = now < w.fullTill, w.aside || w.recheck
+	w.silent = w.unanswered > 0 && now > w.unanswered+upToDate
+	w.mine, w.ours, w.warmth, w.spent = w.held(now), w.out(), 1, 0
 	if n := len(w.figures); w.kept { // all that is there is known
 		w.fresh, w.room = 1, math.Round(w.last-w.mine)
 	} else if n > 0 {
 		// A crowd chases the worker that looked emptiest: the older its last figure, the more the mean of the last
 		// few counts, and the fewer there are, the more what is usual anywhere.
-		w.fresh = math.Exp(-max(0, w.now-w.figureAt).Seconds() / max(w.all.run, 0.1))
+		w.fresh = math.Exp(-max(0, now-w.figureAt).Seconds() / max(w.all.run, 0.1))
 		faded := w.all.usual + w.figures.sum()/float64(n+usualLike)
 		w.room = math.Round(min(w.fresh*w.last+(1-w.fresh)*faded-w.mine, w.size))
 	}
-	if age := w.now - w.startedAt; w.cold && age < w.warmAfter {
+	if age := now - w.startedAt; w.cold && age < w.warmAfter {
 		w.warmth = w.coldFrom + (1-w.coldFrom)*max(0, age.Seconds()/w.warmAfter.Seconds())
 	}
 	for i := range w.errands {
 		e := &w.errands[i]
-		if w.busy = w.busy || e.end == 0; w.warmth < 1 && e.sent+w.window > w.now && e.sent > w.startedAt {
+		if w.busy = w.busy || e.end == 0; w.warmth < 1 && e.sent+w.window > now && e.sent > w.startedAt {
 			w.spent += e.cost
 		}
 	}
-	w.desk.put(w.card)
 }
 
 func (w *worker) follow(e Entry) {
@@ -468,8 +471,9 @@
 
 func (k *desk) read(note any) {
 	switch n := note.(type) {
-	case card:
+	case *card:
 		k.post(n)
+		k.copies = append(k.copies, n)
 	case begun:
 		k.starts.add(n.atOnce)
 	case figure:
@@ -484,6 +488,10 @@
 		}
 	case tick:
 		k.watch()
+	case asked:
+		k.toAsk = append(k.toAsk, n)
+	case look:
+		k.begin()
 	case choose:
 		k.choose()
 	case about:
@@ -505,24 +513,22 @@
 }
 
 // post keeps the board, and the pool in the order in which its workers were last asked.
-func (k *desk) post(n card) {
-	if n.pace == 0 { // its reports may show that it is slow, long before the few finishes of thin traffic do
-		n.pace = cmp.Or(k.paced[n.kind], 1) * max(1, n.service/max(k.all.service, n.service/8, 1e-6)/2)
-	}
-	n.pace /= n.warmth
+func (k *desk) post(n *card) {
+	n.showPace(k.paced, k.all)
 	old := k.entry(n.at)
 	joins, leaves := n.open && (n.seen > old.seen || !old.open), !n.open && old.open
-	if n.busy && !old.busy && !slices.Contains(k.busy, n.at) {
-		k.busy = append(k.busy, n.at)
+	if n.busy && !old.watched {
+		k.busy, old.watched = append(k.busy, n.at), true
 	}
-	if *old = n; joins || leaves {
-		k.pool = slices.DeleteFunc(k.pool, func(at int) bool { return at == n.at })
+	if old.card, old.beat = *n, k.beats; joins || leaves {
+		k.pool, old.pooled = slices.DeleteFunc(k.pool, func(at int) bool { return at == n.at }), joins
 	}
 	if joins {
 		k.pool = append(k.pool, n.at)
 	}
 	for n := 0; len(k.pool) > int(k.size) && n < len(k.pool); {
-		if c := k.board[k.pool[n]]; c.lot >= crowd || c.warmth == 1 {
+		if c := k.current(k.pool[n]); c.lot >= crowd || c.warmth == 1 {
+			k.board[c.at].pooled = false
 			k.pool = slices.Delete(k.pool, n, n+1)
 		} else if n++; k.now > c.seen+reach/4 { // we are one of few that may use it
 			k.door.list[c.at].worker.put(ask{k.all, false})
@@ -535,30 +541,24 @@
 	rate := probeFloor + k.each*float64(len(k.arrivals))/max(0.1, k.now.Seconds()-k.arrivals[0])
 	k.size = max(few, min(k.size, rate*reach.Seconds()))
 	k.credit += probeFloor * (k.now - k.creditAt).Seconds()
+	round := k.now >= k.viewed+beat
 	// Best when an invocation comes, as figures are worth most while they are young; else a few each second.
 	if k.creditAt = k.now; k.comes || k.credit >= probeFloor {
 		for k.comes = false; k.credit >= 1; k.credit-- {
-			k.door.put(wanted{-1, -1, -1, false, k.all})
+			k.door.put(wanted{-1, -1, -1, false, round, k.all})
 		}
 		if k.all.learn {
 			k.left = k.now
 		}
 	}
-	if k.now < k.viewed+beat {
+	if !round {
 		return
 	}
 	if k.viewed = k.now; k.now >= k.learned+5*beat {
 		k.learn()
 		k.rerank()
 	}
-	k.busy = slices.DeleteFunc(k.busy, func(at int) bool { return !k.board[at].busy })
-	look := k.busy
-	if len(k.held) > 0 {
-		look = append(slices.Clip(look), k.pool...)
-	}
-	for _, at := range look {
-		k.door.list[at].worker.put(k.all)
-	}
+	k.door.put(look{})
 }
 
 func (k *desk) learn() { // of the middle, as the queue of one that hangs would drag a mean down
@@ -591,9 +591,9 @@
 		k.tenants[a.Tenant].came.add(k.now.Seconds())
 	}
 	k.arrivals.add(k.now.Seconds())
-	if !slices.ContainsFunc(k.pool, func(at int) bool { return k.board[at].sure(j) }) {
+	if !slices.ContainsFunc(k.pool, func(at int) bool { return k.current(at).sure(j) }) {
 		for range min(k.asks, len(k.door.order)) {
-			k.door.put(wanted{-1, -1, -1, true, k.all})
+			k.door.put(wanted{-1, -1, -1, true, false, k.all})
 		}
 	}
 	if k.comes = true; k.asks == 0 && k.credit+probeFloor*(k.now-k.creditAt).Seconds() < 1 { // floor's are spent
@@ -754,12 +754,13 @@
 		o.sizes.add(n.ran.Seconds())
 		o.ratios.add(n.ran.Seconds() / j.work)
 		k.runs.add(n.ran.Seconds())
-		c := k.board[t.at]
+		c := k.current(t.at)
 		o.rough.add(n.ran.Seconds() / (j.work * c.pace))
 		if c.warmth == 1 {
 			paces := k.paces[c.kind]
 			paces.add(n.ran.Seconds() / j.work)
-			k.paces[c.kind], k.paced[c.kind] = paces, paces.at(0.5)
+			k.paces[c.kind] = paces
+			k.setPaced(c.kind, paces.at(0.5))
 		}
 	case Full, Unreachable:
 		// One that turns a tenant away while its probes show room would draw its top invocation for ever.
@@ -840,7 +841,7 @@
 
 // wants tells which workers may have an invocation next; its first forward that may have run fixes the group.
 func (k *desk) wants(j *inv) wanted {
-	o, w := &k.ops[j.op], wanted{k.ops[j.op].kind, -1, -1, k.tells, k.all}
+	o, w := &k.ops[j.op], wanted{k.ops[j.op].kind, -1, -1, k.tells, false, k.all}
 	if _, first := j.live(); first != nil && o.effect == Deduplicated && o.scope == ScopeZone {
 		w.zone = k.board[first.at].zone
 	} else if first != nil && o.effect == Deduplicated && o.scope == ScopeCell {
@@ -850,7 +851,7 @@
 }
 
 func (k *desk) send(i, at int) {
-	j, c := &k.invs[i], k.board[at]
+	j, c := &k.invs[i], &k.board[at].card
 	k.unhold(i)
 	j.tries = append(j.tries, tried{at: at, sent: k.now, out: true})
 	k.do(Forward{j.id, k.door.list[at].Worker})
@@ -865,7 +866,7 @@
 	k.sums, k.free = survey{fastest: math.Inf(1)}, k.free[:0]
 	told := k.asks > 0 && k.now < k.door.answered+upToDate
 	for _, at := range k.pool {
-		c, s := k.board[at], &k.sums
+		c, s := k.current(at), &k.sums
 		if s.pooled, s.mine, s.fastest = s.pooled+1, s.mine+c.mine, min(s.fastest, c.pace); c.known {
 			s.known, s.room, s.usual = s.known+1, s.room+c.room, s.usual+c.mine
 		}
@@ -892,7 +893,7 @@
 	latest := k.ops[j.op].objective + seconds(hintLow*k.ops[j.op].stretch*j.work) - waited
 	for n := range k.free {
 		at := k.free[(from+n)%len(k.free)]
-		c := k.board[at]
+		c := &k.board[at].card
 		if !want.suits(c.kind, c.zone, c.cell) || !k.fits(j, at, c) {
 			continue
 		}
--- a/dispatch/lesson.go
+++ b/dispatch/lesson.go
@@ -73,6 +73,7 @@
 		if w == nil || w.standing != Ready {
 			continue
 		}
+		k.current(i)
 		n := WorkerLesson{Worker: w.id, Start: d.list[i].Start, Paces: w.paces, Service: w.service, Last: w.last,
 			Size: w.size, Figures: w.figures, Load: w.load, FigureAge: ago(w.figureAt), ReportAge: ago(w.reportAt), Sign: ago(w.lastSign),
 			Aside: w.aside, AsideLeft: w.asideTill - d.now, FullLeft: w.fullTill - d.now, Asides: w.asides, Wanted: w.wanted,
@@ -114,7 +115,7 @@
 	k.jobs, k.clones, k.size = k.jobs+l.Jobs, k.clones+l.Clones, max(k.size, l.Size)
 	for kind, paces := range l.Kinds {
 		k.paces[kind] = joined(paces, k.paces[kind])
-		k.paced[kind] = k.paces[kind].at(0.5)
+		k.setPaced(kind, k.paces[kind].at(0.5))
 	}
 	for i, o := range l.Operations {
 		if i < 0 || i >= len(k.ops) {
--- a/dispatch/trace_test.go
+++ b/dispatch/trace_test.go
@@ -582,8 +582,8 @@
 		fmt.Println(n, "workers, notes that they read for an invocation:", reads/20)
 	}
 	// Output:
-	// 50 workers, notes that they read for an invocation: 55
-	// 250 workers, notes that they read for an invocation: 55
+	// 50 workers, notes that they read for an invocation: 36
+	// 250 workers, notes that they read for an invocation: 35
 }
 
 // With so many schedulers that an even part of a cold worker's budget is less than one invocation, a lot that all draw
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -282,6 +282,8 @@
 	me                               int
 	serial                           uint8 // of our last forward
 	coldFrom                         float64
+	beats                            int
+	copies                           []*card // that can be used again
 }
 
 func (h *house) do(a Action) { h.out = append(h.out, a) }
@@ -396,7 +398,7 @@
 	}
 	wanted struct { // desk to door: one more worker, -1: of any kind, zone or cell
 		kind, zone, cell int
-		hearsay          bool
+		hearsay, round   bool // round: as a round begins
 		view
 	}
 	listed struct { // door to worker: its entry, and our place among those that may use it while it is cold
@@ -466,6 +468,7 @@
 	busy, asking             bool
 	lot                      int           // schedulers before us while it is cold
 	seen                     time.Duration // when it was last asked: the pool is those asked last
+	due                      time.Duration // before that nothing comes of looking at the time
 	room, last, size         float64       // estimate, last figure, the most seen free
 	service                  float64       // running time by its reports
 	ours                     float64       // our slots there that are out
@@ -477,7 +480,7 @@
 type worker struct {
 	inbox
 	card
-	desk                         *inbox
+	desk                         *desk
 	id                           WorkerID
 	standing                     Standing
 	cold, aside, recheck         bool
@@ -579,8 +582,10 @@
 	budget, peers                   float64 // of a cold worker's capacity, what all schedulers may send
 	ops                             []operation
 	invs                            []inv
-	held                            []int           // by rank, highest first
-	board                           []*card         // nil: never met
+	held                            []int   // by rank, highest first
+	board                           []*seat // nil: never met
+	round, everyone                 round   // the last beat, and the last one with something held
+	toAsk                           []asked
 	pool, busy, spare               []int           // asked last is last; with work of ours or aside; of invs
 	paced                           map[int]float64 // their middle
 	paces                           map[int]samples // of warm workers of a kind
@@ -611,17 +616,6 @@
 
 func (k *desk) unhold(i int) { k.held = slices.DeleteFunc(k.held, func(n int) bool { return n == i }) }
 
-// entry is a worker's on the board.
-func (k *desk) entry(at int) *card {
-	if more := at + 1 - len(k.board); more > 0 {
-		k.board = append(k.board, make([]*card, more)...)
-	}
-	if k.board[at] == nil {
-		k.board[at] = &card{seen: -1}
-	}
-	return k.board[at]
-}
-
 func (w *worker) find(inv, fwd int) *errand {
 	for i := range w.errands {
 		if e := &w.errands[i]; e.inv == inv && e.fwd == fwd && e.end == 0 {
@@ -670,7 +664,7 @@
 func (d *Dispatcher) meet(at int) *worker {
 	p := &d.list[at]
 	if p.worker == nil {
-		p.worker = &worker{inbox: inbox{house: &d.house}, desk: &d.desk.inbox, id: p.Worker, tag: tagOf(p.Worker),
+		p.worker = &worker{inbox: inbox{house: &d.house}, desk: &d.desk, id: p.Worker, tag: tagOf(p.Worker),
 			card: card{at: at}}
 		p.worker.inbox.read = p.worker.read
 		p.worker.put(listed{p.Entry, p.lot, p.keeper})
