--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -212,12 +212,19 @@
 		s.loop.After(s.settling(), s.study)
 		s.unlisted = 0
 	} else if s.site.Deployment.Pushed {
-		s.loop.After(s.pause(), s.list.Watch) // the module does not ask where changes come unasked
+		s.loop.After(s.pause(), s.watch) // the module does not ask where changes come unasked
 		s.unlisted++
 	}
 	s.events = append(s.events, list.Listing())
 }
 
+// watch begins the next watch, unless a call that was late has come to its turn meanwhile.
+func (s *service) watch() {
+	if !s.list.Stands() {
+		s.list.Watch()
+	}
+}
+
 // pause is how long the next watch of a pushed list waits. A pool must not come back to its list all at once.
 func (s *service) pause() time.Duration {
 	most := pushedMost
--- a/cmd/stoatweir/told_test.go
+++ b/cmd/stoatweir/told_test.go
@@ -584,7 +584,7 @@
 						all = append(all, day.play(t, at))
 					}
 					var ready, listed []time.Duration
-					const watched, look = 40 * time.Second, 10 * time.Millisecond
+					const watched, look = 20 * time.Second, 10 * time.Millisecond
 					yes := map[*player]bool{}
 					for at.now() < watched {
 						for _, p := range all {
@@ -605,6 +605,9 @@
 					}
 					t.Logf("%s: ready %s; first list from discovery %s; %d calls", name, spread(ready, schedulers), spread(listed, schedulers),
 						len(at.calls))
+					if late := play.how == up && play.patience == 0; late && len(listed) < schedulers {
+						t.Error("lists come to", len(listed), "of", schedulers)
+					}
 					if n, _ := slices.BinarySearch(ready, 10*time.Second); n < schedulers*9/10 {
 						t.Error("ready within 10 s:", n, "of", schedulers)
 					}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -430,6 +430,9 @@
 	c.Resume()
 }
 
+// Standing tells whether it has come up and not ended.
+func (c *Conn) Standing() bool { return c.up && !c.ended }
+
 // Socket is the connection's descriptor, for whoever is to have it.
 func (c *Conn) Socket() (syscall.Conn, bool) {
 	socket, is := c.net.(syscall.Conn)
--- a/internal/discovery/budget.go
+++ b/internal/discovery/budget.go
@@ -25,6 +25,8 @@
 	firstWord = 3 * time.Second
 	// nextWord is the same of the call that follows a watch which fell silent.
 	nextWord = 1400 * time.Millisecond
+	// lingers is how long a call may wait for its turn beyond firstWord, beside the one that follows it.
+	lingers = 15 * time.Second
 	// callTakes is what a call takes that discovery answers: connection, request, list, and our own turns.
 	callTakes = 100 * time.Millisecond
 	// connectIn is how long a connection may take to come up; part of the spans above.
--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -1,10 +1,14 @@
 package discovery
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"stoatweir/dispatch"
@@ -155,3 +159,56 @@
 	// in time: true
 	// silent twice, and the next has its time: true true
 }
+
+// Discovery takes longer for each answer than a call has: the call goes on beside those that follow it, at most one of them, and its list
+// is taken when its turn comes. What it tells is what was asked for, and the others end.
+func TestLateAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const late = 8 * time.Second
+		loop, w := watcher("127.0.0.1:1")
+		open, most, total := 0, 0, 0
+		var mu sync.Mutex
+		loop.DialContext = func(context.Context, string, string) (net.Conn, error) {
+			ours, theirs := net.Pipe()
+			mu.Lock()
+			defer mu.Unlock()
+			open, total = open+1, total+1
+			most = max(most, open)
+			go func() {
+				defer func() {
+					mu.Lock()
+					open--
+					mu.Unlock()
+				}()
+				time.AfterFunc(late, func() {
+					text := `{"rev":7,"all":true,"targets":[]}`
+					fmt.Fprintf(theirs, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(text)+1, text)
+				})
+				io.Copy(io.Discard, theirs)
+			}()
+			return ours, nil
+		}
+		var came time.Duration
+		w.Failed = func(string) {}
+		w.Told = func(list List) {
+			if list.Form == dispatch.ListFailed {
+				loop.After(time.Second, func() {
+					if !w.Stands() {
+						w.Watch()
+					}
+				})
+				return
+			}
+			came = loop.Now()
+			loop.After(3*time.Second, func() { // nothing else is open any more
+				w.present.drop()
+				loop.After(time.Second, loop.Stop)
+			})
+		}
+		w.Watch()
+		loop.Run(func() {})
+		if came != late || most > 2 || open != 0 || w.elder != nil {
+			t.Errorf("the list came after %v, %d calls at once at most, %d in all, %d left", came, most, total, open)
+		}
+	})
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -58,6 +58,7 @@
 	ids           map[string]dispatch.WorkerID
 	taken         map[dispatch.WorkerID]bool
 	present, next *watch // nil: none
+	elder         *watch // a call that has had its time and may still have its turn, beside the present one; nil: none
 	tries         int    // to reach the address that the watch moves to
 	mute          bool   // the last one had told something and fell silent
 	failed        int    // watches in a row that told nothing
@@ -209,12 +210,17 @@
 	w.present = w.begin(w.rev, word)
 }
 
+// Stands tells whether a watch is open that has told something.
+func (w *Watcher) Stands() bool { return w.present != nil && w.present.stands }
+
 // Move takes the watch to another address. Versions there may be another count, so the whole list is asked for.
 func (w *Watcher) Move(addr string) {
 	if addr == w.addr {
 		return
 	}
 	w.next.drop()
+	w.elder.drop()
+	w.elder = nil
 	w.retry.Stop()
 	w.addr, w.tries, w.next, w.moving = addr, 0, nil, true
 	if w.present != nil && w.present.addr == addr && w.present.stands {
@@ -252,12 +258,28 @@
 
 func (n *watch) silent() {
 	n.mute = n.stands
-	n.fail(errors.New("it is silent"))
+	n.fail(errSilent)
+}
+
+var errSilent = errors.New("it is silent")
+
+// linger keeps a call that nobody has answered yet, beside the one that follows: discovery takes calls in turn, and where that takes
+// longer than a call's time, none would ever come to its turn. The oldest is nearest to it.
+func (n *watch) linger() {
+	n.elder = n
+	n.quiet = n.loop.After(lingers, func() { n.fail(errSilent) })
 }
 
 func (n *watch) fail(why error) {
-	n.drop()
-	switch w := n.Watcher; {
+	w := n.Watcher
+	if n == w.present && !w.moving && !n.stands && w.elder == nil && why == errSilent && n.c.Standing() {
+		n.linger()
+	} else {
+		n.drop()
+	}
+	switch {
+	case n == w.elder && n != w.present:
+		w.elder = nil
 	case n == w.next:
 		w.next = nil
 		if w.tries++; w.tries == 1 {
@@ -278,10 +300,17 @@
 // told passes news on. The first word of the next watch makes it the present one.
 func (n *watch) told(list List) {
 	w := n.Watcher
-	if n == w.next {
+	if n == w.next || n == w.elder {
 		w.present.drop()
-		w.present, w.next, w.moving = n, nil, false
+		w.present = n
+	}
+	if n == w.next {
+		w.next, w.moving = nil, false
+	}
+	if n != w.elder {
+		w.elder.drop()
 	}
+	w.elder = nil
 	n.stands, w.failed = true, 0
 	n.alive()
 	w.Told(list)
@@ -350,7 +379,7 @@
 			// take the watch for one that never came, and begin another. A next one that has no list yet replaces
 			// none that still tells.
 			n.alive()
-			if !n.stands && (n == n.present || n.present == nil) {
+			if !n.stands && (n == n.present || n == n.elder || n.present == nil) {
 				n.told(List{Form: dispatch.ListDelta})
 			}
 		case complete:
@@ -358,6 +387,8 @@
 			if err := n.list(); err != nil {
 				// The next watch is to bring the whole list: from here on changes would apply to an unknown one.
 				n.Watcher.rev = 0
+				n.elder.drop()
+				n.elder = nil
 				return err
 			}
 		}
