--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -450,3 +450,46 @@
 		t.Error("no cold worker got anything")
 	}
 }
+
+// What all schedulers together may send one cold worker in a span, were there always one more small invocation, stays
+// within N + 2 root N + 2 requests of mean work, whatever the number of schedulers is told to be: as long as their own
+// numbers are told.
+func TestColdParts(t *testing.T) {
+	t.Logf("%10s %6s %8s %8s %8s %8s %6s", "schedulers", "told", "N", "worst", "bound", "of it", "over")
+	for _, schedulers := range []int{1, 6, 7, 20, 30, 300} {
+		for _, told := range []float64{0.1, 0.5, 1, 2, 10} {
+			for _, calls := range []float64{2, 10, 30, 100, 300} {
+				worst, bound, over := 0.0, calls+2*math.Sqrt(calls)+2, 0
+				for start := range uint64(20) {
+					sum := coldParts(schedulers, max(1, int(math.Round(told*float64(schedulers)))), calls, start)
+					if worst = max(worst, sum); sum > bound {
+						over++
+					}
+				}
+				t.Logf("%10d %6v %8v %8.1f %8.1f %8.2f %6d", schedulers, told, calls, worst, bound, worst/bound, over)
+				if over > 0 {
+					t.Errorf("%d schedulers, told %v of it, N %v: %.1f may come, %.1f is borne", schedulers, told, calls, worst, bound)
+				}
+			}
+		}
+	}
+}
+
+// coldParts sums what each may send, in requests of mean work, by hundredths of one.
+func coldParts(schedulers, told int, calls float64, start uint64) (sum float64) {
+	const run = 0.2
+	dep := shop()
+	dep.Peers = told
+	for dep.Me = range schedulers {
+		d := New(dep, 1)
+		k, c := &d.desk, &card{pace: 1, warmth: 1, lot: d.lot(start)}
+		c.size = calls * run / k.budget
+		c.pace = max(1, 1/c.size) // a worker of less than one slot is a slower one
+		k.all.run, k.now, k.jobs = run, 20*time.Second, 20*calls
+		for cost := run / 100; k.warms(cost, c) && c.spent < 3*calls*run; {
+			c.spent += cost
+		}
+		sum += c.spent / run
+	}
+	return sum
+}
