Cold workers: the parts of all stay within N + 2 root N + 2 when too few are told

Cause: lot drew among own number + 1 beyond the told number; 1.25 budgets pass the bound above N = 79. Change: beyond the told number none takes part; parts are a budget and the root of its runs at most.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -157,7 +157,7 @@
 func (d *Dispatcher) lot(start uint64) (before int) {
 	mine := mix(start, d.me)
 	for other := range int(d.peers) {
-		if other != d.me && mix(start, other) < mine {
+		if d.me >= int(d.peers) || mix(start, other) < mine { // beyond the number told: all come before us
 			before++
 		}
 	}
@@ -944,15 +944,16 @@
 	// Its first runs may be quick and it still unable to bear as many: its kind's usual pace is the least.
 	able := max(1, c.size) / max(c.pace, cmp.Or(k.paced[c.kind], 1)/c.warmth)
 	budget, run := k.budget*able, cmp.Or(k.all.run, 1)
-	if k.peers <= crowd || budget >= coldRuns*run*k.peers {
+	if float64(c.lot) < k.peers && (k.peers <= crowd || budget >= coldRuns*run*k.peers) {
 		return k.peers*(c.spent+cost) <= evenPart*budget
 	}
 	// The work that we get a second, over all our time: a jump of the traffic must not name others in a moment.
 	ours := run * max(1, k.jobs) / max(reach, k.now).Seconds()
 	sharing := max(fewest, math.Floor(min(2*able/ours, 2+coldPart*budget/(3*coldRuns*run))))
-	part := coldPart * budget / 3 // of each of the first two; the others share the last third
+	// Of each of the first two; the others share the last third. Of many runs chance bears less in proportion.
+	part := min(coldPart*budget, budget+math.Sqrt(budget*run)) / 3
 	if c.lot > 1 {
 		part /= max(1, min(sharing, k.peers)-2)
 	}
-	return float64(c.lot) < sharing && c.spent+cost <= part
+	return float64(c.lot) < min(sharing, k.peers) && c.spent+cost <= part
 }
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -33,7 +33,7 @@
 	if d.asks, d.within = !dep.Pushed, dep.Rules.AskWithin; dep.Me >= 0 || n.From == nil {
 		d.me = dep.Me
 	}
-	d.peers = float64(max(1, dep.Peers, dep.Me+1)) // told too few, those with higher numbers know better
+	d.peers = float64(max(1, dep.Peers)) // told too few, those with higher numbers leave cold workers alone
 	k.zone, k.cancels, k.mostOut, k.peers = dep.Zone, dep.Allowed.Cancel, dep.Allowed.MaxOut, d.peers
 	k.asks, k.queue = 0, queueShare
 	k.mostForwards, k.after = max(1, dep.Allowed.MaxForwards), min(dep.Allowed.MaxRetryAfter, awaySpan)
--- a/dispatch/trace_test.go
+++ b/dispatch/trace_test.go
@@ -343,8 +343,8 @@
 	// warm true: asked by 19 of 80 as they start
 }
 
-// The number of schedulers is told ten times too small: a number beyond it proves that, and counts for it. Named for
-// one cold worker should be five of a thousand; without that, fifty would be.
+// The number of schedulers is told ten times too small: whose own number lies beyond it knows that, and leaves cold
+// workers to the others. Named for one are five of a thousand all the same; without that, fifty would be.
 func Example_toldTooFew() {
 	dep := shop()
 	for _, dep.Peers = range []int{1000, 100, 10000} {
@@ -358,7 +358,7 @@
 	}
 	// Output:
 	// told 1000: 5 of 1000 are among the first five
-	// told 100: 22 of 1000 are among the first five
+	// told 100: 5 of 1000 are among the first five
 	// told 10000: 0 of 1000 are among the first five
 }
 
