--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math/rand"
 	"time"
 )
@@ -49,7 +50,8 @@
 	if d.asks, d.within = !dep.Pushed, dep.Rules.AskWithin; dep.Me >= 0 || n.From == nil {
 		d.me = dep.Me
 	}
-	d.peers = float64(max(1, dep.Peers, dep.Me+1)) // told too few, those with higher numbers know better
+	// Told too few, those with higher numbers leave cold workers alone; told none, each knows of those before it.
+	d.peers = float64(cmp.Or(max(0, dep.Peers), max(1, dep.Me+1)))
 	k.zone, k.cancels, k.mostOut, k.peers = dep.Zone, dep.Allowed.Cancel, max(1, dep.Allowed.MaxOut), d.peers
 	k.asks, k.queue = 0, queueShare
 	k.mostForwards, k.after = max(1, dep.Allowed.MaxForwards), min(dep.Allowed.MaxRetryAfter, awaySpan)
