--- a/cmd/stoatweir/pass.go
+++ b/cmd/stoatweir/pass.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"stoatweir/dispatch"
 	"stoatweir/internal/clients"
 	"stoatweir/internal/conn"
@@ -23,6 +25,7 @@
 	ID, Method, Target string
 	Fields             []http1.Field
 	Left               time.Duration // until its client stops waiting
+	At                 time.Duration // when this was so, by the clock that all processes of a machine share
 	Name, Tenant       string
 	Operation          dispatch.Operation
 	Timeout            time.Duration
@@ -35,6 +38,7 @@
 	*clients.Parcel
 	j      *tracked
 	record dispatch.Resumed
+	at     time.Duration // of the record
 	late   *conn.Alarm
 }
 
@@ -53,6 +57,8 @@
 		if p.Inv != 0 {
 			sent.j = s.invs[p.Inv]
 			sent.record, _ = s.core.Record(p.Inv)
+			sent.record = sent.record.Older(max(0, s.loop.Now()-s.last)) // it is of the last moment that was decided
+			sent.at = s.loop.Now()
 			text, err := json.Marshal(s.legacy(sent.j, sent.record))
 			if err != nil {
 				s.log.Error("an invocation can't be passed on: ", err)
@@ -85,7 +91,7 @@
 }
 
 func (s *service) legacy(j *tracked, r dispatch.Resumed) legacy {
-	l := legacy{ID: j.ID, Method: j.Method, Target: j.Target, Fields: j.Fields, Left: j.GivenUp - s.loop.Now(), Record: r,
+	l := legacy{ID: j.ID, Method: j.Method, Target: j.Target, Fields: j.Fields, Left: j.GivenUp - s.loop.Now(), At: uptime(), Record: r,
 		Name: s.site.Operations[j.operation], Operation: s.site.Deployment.Operations[j.operation],
 		Timeout: s.site.Timeouts[j.operation]}
 	if r.Tenant < len(s.site.Tenants) {
@@ -97,6 +103,22 @@
 	return l
 }
 
+// uptime is the machine's, which no setting of a clock moves. Where it can't be read nothing ages.
+func uptime() time.Duration {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &t) != nil {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
+
+// aged takes account of the way: a window for repeats and a client timeout go on while it lasts.
+func (l *legacy) aged(now time.Duration) {
+	if way := now - l.At; l.At > 0 && way > 0 {
+		l.Left, l.Record = l.Left-way, l.Record.Older(way)
+	}
+}
+
 // kept ends a pass.
 func (b *bond) kept(m handover.Message) {
 	p := b.passed[m.Number]
@@ -125,7 +147,7 @@
 			s.fleet.Keep(p.j.Invocation, fwd, t.Worker)
 		}
 	}
-	s.events = append(s.events, p.record)
+	s.events = append(s.events, p.record.Older(s.loop.Now()-p.at))
 }
 
 // lost ends all passes that the successor's end has caught under way.
@@ -156,6 +178,7 @@
 	if m.Pass.Invocation != nil {
 		known := false
 		if json.Unmarshal(m.Pass.Invocation, &l) == nil {
+			l.aged(uptime())
 			operation, known = s.heir(&l)
 		}
 		if !known {
--- /dev/null
+++ b/cmd/stoatweir/pass_test.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"stoatweir/dispatch"
+)
+
+// What is passed on ages while it is on its way; a clock that can't be read, or is another machine's, changes nothing.
+func Example_aged() {
+	for _, now := range []time.Duration{5 * time.Second, 5300 * time.Millisecond, time.Second} {
+		l := legacy{Left: 2 * time.Second, At: 5 * time.Second, Record: dispatch.Resumed{Age: time.Second,
+			Arrival: dispatch.Arrival{Budget: 2 * time.Second}, Tries: []dispatch.Try{{Age: time.Second, Began: -1, Heard: 0}}}}
+		l.aged(now)
+		fmt.Println(l.Left, l.Record.Budget, l.Record.Age, l.Record.Tries[0].Age, l.Record.Tries[0].Began, l.Record.Tries[0].Heard)
+	}
+	// Output:
+	// 2s 2s 1s 1s -1ns 0s
+	// 1.7s 1.7s 1.3s 1.3s -1ns 300ms
+	// 2s 2s 1s 1s -1ns 0s
+}
--- a/dispatch/held_test.go
+++ b/dispatch/held_test.go
@@ -137,3 +137,25 @@
 	// first: 3 to b; 1 to a; 2 to c
 	// again: 3 to a; 1 to c until 1.02s; 2 to a
 }
+
+// What is passed to another instance ages on its way, and in one that has it back: its window is not counted anew.
+func Example_olderOnItsWay() {
+	for _, way := range []time.Duration{0, 800 * ms} {
+		p := held(bounded(ScopeAll))
+		p.full(200 * ms)
+		r, _ := p.d.Record(1)
+		p.at(p.now, Passed{Inv: 1})
+		p.full(p.now + 100*ms + way)
+		back := r.Older(100*ms + way)
+		p.at(p.now, back)
+		p.at(p.now+10*ms, free('b', 9.1))
+		p.until(p.now + 100*ms)
+		p.tell("room")
+		fmt.Println(r.Budget-back.Budget, back.Waited-r.Waited, back.Tries[0].Age-r.Tries[0].Age, back.Tries[0].Began)
+	}
+	// Output:
+	// room: 1 to a; 1 to b
+	// 100ms 100ms 100ms -1ns
+	// room: 1 to a; 1 throttled, back after 750ms to 1.25s
+	// 900ms 900ms 900ms -1ns
+}
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // This file carries the state of invocations from one instance to another. It decides nothing: what is inherited enters by
 // the same lines as all else.
@@ -64,6 +67,20 @@
 	return r, true
 }
 
+// Older is the record as it is that much later, as it ages on its way: a window for repeats and a client timeout go on.
+func (r Resumed) Older(by time.Duration) Resumed {
+	r.Budget, r.Waited, r.Age, r.Tries = r.Budget-by, r.Waited+by, r.Age+by, slices.Clone(r.Tries)
+	for i := range r.Tries {
+		t := &r.Tries[i]
+		for _, age := range []*time.Duration{&t.Age, &t.Began, &t.Heard} {
+			if *age >= 0 {
+				*age += by
+			}
+		}
+	}
+	return r
+}
+
 // handed is desk to worker: a forward of ours is another instance's.
 type handed struct{ inv, fwd int }
 
