--- a/cmd/stoatweir/pass.go
+++ b/cmd/stoatweir/pass.go
@@ -24,8 +24,8 @@
 type legacy struct {
 	ID, Method, Target string
 	Fields             []http1.Field
-	At                 time.Duration // on the machine's clock: all ages, and what is left, are as of then
 	Left               time.Duration // until its client stops waiting
+	At                 time.Duration // when this was so, by the clock that all processes of a machine share
 	Name, Tenant       string
 	Operation          dispatch.Operation
 	Timeout            time.Duration
@@ -33,37 +33,12 @@
 	Workers            []string // of its tries
 }
 
-// uptime is a clock that both processes see.
-func uptime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
-		return 0
-	}
-	return time.Duration(t.Nano())
-}
-
-// aged is a record some time later. One that has been on its way for long, to a successor that hangs and back, would have
-// the window for repeats last by that much too long.
-func aged(r dispatch.Resumed, by time.Duration) dispatch.Resumed {
-	r.Budget, r.Waited, r.Age = r.Budget-by, r.Waited+by, r.Age+by
-	r.Tries = slices.Clone(r.Tries)
-	for n := range r.Tries {
-		t := &r.Tries[n]
-		for _, age := range []*time.Duration{&t.Age, &t.Began, &t.Heard} {
-			if *age >= 0 {
-				*age += by
-			}
-		}
-	}
-	return r
-}
-
 // parcel is on its way.
 type parcel struct {
 	*clients.Parcel
-	since  time.Duration
 	j      *tracked
 	record dispatch.Resumed
+	at     time.Duration // of the record
 	late   *conn.Alarm
 }
 
@@ -76,12 +51,14 @@
 			return
 		}
 		b.number++
-		sent := &parcel{Parcel: p, since: s.loop.Now()}
+		sent := &parcel{Parcel: p}
 		m := handover.Message{Kind: handover.Pass, Number: b.number, Socket: p.Socket,
 			Pass: &handover.Passed{Read: p.Read, News: p.News, Fresh: p.Fresh}}
 		if p.Inv != 0 {
 			sent.j = s.invs[p.Inv]
 			sent.record, _ = s.core.Record(p.Inv)
+			sent.record = sent.record.Older(max(0, s.loop.Now()-s.last)) // it is of the last moment that was decided
+			sent.at = s.loop.Now()
 			text, err := json.Marshal(s.legacy(sent.j, sent.record))
 			if err != nil {
 				s.log.Error("an invocation can't be passed on: ", err)
@@ -114,7 +91,7 @@
 }
 
 func (s *service) legacy(j *tracked, r dispatch.Resumed) legacy {
-	l := legacy{ID: j.ID, Method: j.Method, Target: j.Target, Fields: j.Fields, At: uptime(), Left: j.GivenUp - s.loop.Now(), Record: r,
+	l := legacy{ID: j.ID, Method: j.Method, Target: j.Target, Fields: j.Fields, Left: j.GivenUp - s.loop.Now(), At: uptime(), Record: r,
 		Name: s.site.Operations[j.operation], Operation: s.site.Deployment.Operations[j.operation],
 		Timeout: s.site.Timeouts[j.operation]}
 	if r.Tenant < len(s.site.Tenants) {
@@ -126,6 +103,22 @@
 	return l
 }
 
+// uptime is the machine's, which no setting of a clock moves. Where it can't be read nothing ages.
+func uptime() time.Duration {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &t) != nil {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
+
+// aged takes account of the way: a window for repeats and a client timeout go on while it lasts.
+func (l *legacy) aged(now time.Duration) {
+	if way := now - l.At; l.At > 0 && way > 0 {
+		l.Left, l.Record = l.Left-way, l.Record.Older(way)
+	}
+}
+
 // kept ends a pass.
 func (b *bond) kept(m handover.Message) {
 	p := b.passed[m.Number]
@@ -154,7 +147,7 @@
 			s.fleet.Keep(p.j.Invocation, fwd, t.Worker)
 		}
 	}
-	s.events = append(s.events, aged(p.record, s.loop.Now()-p.since))
+	s.events = append(s.events, p.record.Older(s.loop.Now()-p.at))
 }
 
 // lost ends all passes that the successor's end has caught under way.
@@ -185,10 +178,8 @@
 	if m.Pass.Invocation != nil {
 		known := false
 		if json.Unmarshal(m.Pass.Invocation, &l) == nil {
+			l.aged(uptime())
 			operation, known = s.heir(&l)
-		}
-		if way := uptime() - l.At; l.At > 0 && way > 0 { // the program before this one may not tell
-			l.Left, l.Record = l.Left-way, aged(l.Record, way)
 			known = known && l.Left > 0
 		}
 		if !known {
