The rest between gulps belongs to a share: the test of it raced with other tests' goroutines

go test -race ./internal/conn: a race between TestGoneBehindMuch, which set a package variable, and a goroutine that an earlier test had left reading it. The test alone was at fault.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -39,10 +39,9 @@
 	// arrives is how long a last answer may take to its peer, which ends the connection then: with bytes of its own unread
 	// here, the end of the program would reset it.
 	arrives = 100 * time.Millisecond
+	rest    = time.Millisecond
 )
 
-var rest = time.Millisecond
-
 var gulps = sync.Pool{New: func() any { return new([gulp]byte) }}
 
 // Owner is told of a connection, in the loop. Down comes once and last, and not after Close.
@@ -166,7 +165,7 @@
 			return err
 		}
 		if bytes += n; reads > briskReads || bytes > briskBytes {
-			time.Sleep(rest)
+			time.Sleep(c.share.rest)
 		}
 	}
 }
@@ -528,6 +527,7 @@
 
 	loop       *Loop
 	used, most int
+	rest       time.Duration     // between gulps
 	spare      [Done + 1][]*Conn // by use, oldest first
 	flushing   map[*Conn]struct{}
 	parting    map[*Conn]struct{} // stopped for want of descriptors: a request of theirs may have been read
@@ -535,7 +535,7 @@
 
 // Share sets so many descriptors apart.
 func (l *Loop) Share(most int) *Share {
-	return &Share{loop: l, most: most, flushing: map[*Conn]struct{}{}, parting: map[*Conn]struct{}{}}
+	return &Share{loop: l, most: most, rest: rest, flushing: map[*Conn]struct{}{}, parting: map[*Conn]struct{}{}}
 }
 
 // Resize gives the share more or less. What is over it goes as far as it may; what can't go keeps others from coming.
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -288,10 +288,9 @@
 
 // A peer that has sent much and gone is seen to have gone as fast as its bytes can be thrown away.
 func TestGoneBehindMuch(t *testing.T) {
-	defer func(before time.Duration) { rest = before }(rest)
-	rest = time.Hour
 	l := NewLoop(time.Now())
 	s := l.Share(10)
+	s.rest = time.Hour
 	near, far := net.Pipe()
 	o := &owner{}
 	c := s.Adopt(near, o)
