--- a/internal/workers/crossings_test.go
+++ b/internal/workers/crossings_test.go
@@ -382,7 +382,7 @@
 // yet: the request would be lost, or take the rest of that line for its answer.
 func TestUnreadOnKeptConnection(t *testing.T) {
 	for name, does := range map[string]func(*stage){
-		"an end":      func(s *stage) { s.conns[0].Close() },
+		"an end":      func(s *stage) { s.mu.Lock(); s.conns[0].Close(); s.mu.Unlock() },
 		"half a line": func(s *stage) { s.say(1, "HTTP/1.1 20") },
 	} {
 		t.Run(name, func(t *testing.T) {
