--- a/cmd/stoatweir/lab_scale.go
+++ b/cmd/stoatweir/lab_scale.go
@@ -46,12 +46,20 @@
 				values = []float64{0}
 			}
 			rig := scale.Rig{Scheduler: program, Hollow: []string{own, "lab", "hollow"}}
+			machine, err := scale.This()
+			if err != nil {
+				return err
+			}
+			// All steps are looked at before the first one starts anything.
 			var steps []scale.Scenario
 			for _, v := range values {
 				step, err := s.Step(v)
 				if err != nil {
 					return fmt.Errorf("%s: sweep: %w", files[0], err)
 				}
+				if err := step.Fits(machine); err != nil {
+					return err
+				}
 				steps = append(steps, step)
 			}
 			for i, step := range steps {
--- a/internal/lab/scale/clients.go
+++ b/internal/lab/scale/clients.go
@@ -31,7 +31,7 @@
 
 func (c *clients) carry(o Order) (Stats, error) {
 	switch o.Do {
-	case "stats":
+	case "begin", "stats":
 	case "start":
 		for n := range c.p.Schedulers {
 			go c.arrive(n, o.For)
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -35,7 +35,7 @@
 	serial   int
 
 	jobs    sync.Map // by id, *job
-	calls   []tally  // by scheduler
+	calls   tally
 	frozen  atomic.Bool
 	lists   atomic.Int64
 	listed  atomic.Int64 // bytes
@@ -65,7 +65,7 @@
 	listed bool
 	silent atomic.Bool // lost: it takes nothing and says nothing
 	own    atomic.Int64
-	frozen string
+	frozen atomic.Pointer[string] // its report, once all stand still
 
 	mu   sync.Mutex
 	idle map[int][]net.Conn // kept connections for news, by scheduler
@@ -80,7 +80,7 @@
 }
 
 func newFleet(ctx context.Context, p Part) (*fleet, error) {
-	f := &fleet{p: p, ctx: ctx, began: time.Now(), watches: map[chan []byte]bool{}, calls: make([]tally, len(p.Schedulers)), rev: 1}
+	f := &fleet{p: p, ctx: ctx, began: time.Now(), watches: map[chan []byte]bool{}, rev: 1}
 	var err error
 	if f.list, err = net.Listen("tcp", p.Host+":0"); err != nil {
 		return nil, err
@@ -116,29 +116,27 @@
 
 func (f *fleet) carry(o Order) (Stats, error) {
 	switch o.Do {
-	case "stats":
+	case "begin", "stats":
 	case "start":
-		go f.change()
+		f.change()
 	case "freeze":
 		f.frozen.Store(true)
 	case "lose":
-		f.lose(o.Zone, o.Count)
+		f.lose(o.Count)
 	case "return":
-		f.bringBack(o.Zone, o.Count)
+		f.bringBack()
 	default:
 		return Stats{}, fmt.Errorf("fleet: %q is no order", o.Do)
 	}
 	s := Stats{Discovery: f.list.Addr().String(), Lists: f.lists.Load(), ListBytes: f.listed.Load(), Running: f.running.Load(),
 		Strange: f.strange.Load(), NewsFailed: f.missed.Load(), Changes: f.changes.Load()}
-	for i := range f.calls {
-		c := &f.calls[i]
-		s.Starts, s.Probes = append(s.Starts, c.starts.Load()), append(s.Probes, c.probes.Load())
-		s.Cancels, s.News = append(s.Cancels, c.cancels.Load()), append(s.News, c.news.Load())
-		s.ProbeBytes, s.CancelBytes = append(s.ProbeBytes, c.probeBytes.Load()), append(s.CancelBytes, c.cancelBytes.Load())
-		s.TakeBytes, s.NewsBytes = append(s.TakeBytes, c.takeBytes.Load()), append(s.NewsBytes, c.newsBytes.Load())
-	}
-	if o.Do == "stats" && s.Starts != nil {
-		s.Endpoints = nil
+	c := &f.calls
+	s.Starts, s.Probes, s.Cancels, s.News = c.starts.Load(), c.probes.Load(), c.cancels.Load(), c.news.Load()
+	s.ProbeBytes, s.CancelBytes, s.TakeBytes, s.NewsBytes = c.probeBytes.Load(), c.cancelBytes.Load(), c.takeBytes.Load(), c.newsBytes.Load()
+	if o.Do == "begin" {
+		for _, w := range f.workers {
+			s.Endpoints = append(s.Endpoints, w.addr)
+		}
 	}
 	return s, nil
 }
@@ -290,14 +288,14 @@
 	})
 }
 
-// lose takes some workers of a zone away without a word: their machines have no power. The list says so at once.
-func (f *fleet) lose(zone, count int) {
+// lose takes some workers of the first zone away without a word: their machines have no power. The list says so at once.
+func (f *fleet) lose(count int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var stay []*worker
 	var gone []string
 	for _, w := range f.entries {
-		if w.zone != zone || len(gone) == count {
+		if w.zone != 0 || len(gone) == count {
 			stay = append(stay, w)
 			continue
 		}
@@ -318,7 +316,7 @@
 }
 
 // bringBack lists them again, cold.
-func (f *fleet) bringBack(zone, count int) {
+func (f *fleet) bringBack() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var back []string
@@ -389,12 +387,10 @@
 	unknown = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 )
 
-// serve speaks to one connection of a scheduler. Probes name no scheduler: they count for the one that has last sent
-// work over the connection, or for the first.
+// serve speaks to one connection of a scheduler.
 func (w *worker) serve(nc net.Conn) {
 	c := &counted{Conn: nc}
 	r := bufio.NewReaderSize(c, small)
-	who := w.f.whose(nc)
 	for before := 0; ; {
 		in, err := http.ReadRequest(r)
 		if err != nil {
@@ -402,7 +398,7 @@
 		}
 		io.Copy(io.Discard, in.Body)
 		var n, kind *atomic.Int64
-		t := &w.f.calls[who]
+		t := &w.f.calls
 		answer := unknown
 		switch {
 		case in.Method == "GET" && in.URL.Path == "/-/load":
@@ -433,11 +429,7 @@
 	}
 }
 
-// whose tells which scheduler a connection is from: each real one has an address of its own in the pool, but dials from
-// whatever the kernel gives it. Where there is one it is that.
-func (f *fleet) whose(net.Conn) int { return 0 }
-
-// scheduler reads whose an id is: its clients put that first.
+// schedulerOf reads whose an id is: its clients put that first.
 func schedulerOf(id string) (int, bool) {
 	n, err := strconv.ParseUint(id, 16, 64)
 	return int(n >> 32), err == nil
@@ -511,15 +503,15 @@
 
 // report says how much is free here: the slots, less our own runs, less those of all other schedulers, which come and go.
 func (w *worker) report() string {
-	if w.f.frozen.Load() && w.frozen != "" {
-		return w.frozen
+	if old := w.frozen.Load(); old != nil {
+		return *old
 	}
 	s := w.f.p.Scenario
 	others := s.Others + math.Round(2*math.Sin(float64(w.number)+time.Since(w.f.began).Seconds()/20))
 	free := float64(s.Slots) - others - float64(w.own.Load())
 	text := fmt.Sprintf("TEXT waiting=%g, avg_ms=%.0f, x0=%g", max(0, -free), s.run().Seconds()*1e3, max(0, free))
-	if w.frozen == "" {
-		w.frozen = text
+	if w.f.frozen.Load() {
+		w.frozen.Store(&text)
 	}
 	return text
 }
@@ -541,8 +533,8 @@
 		f.p.Schedulers[who], len(text), text)
 	for range newsTries {
 		if n, ok := w.post(who, request); ok {
-			f.calls[who].news.Add(1)
-			f.calls[who].newsBytes.Add(int64(n))
+			f.calls.news.Add(1)
+			f.calls.newsBytes.Add(int64(n))
 			return
 		}
 		select {
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -26,24 +26,24 @@
 	Scenario   Scenario
 	Schedulers []string // where each real one listens
 	Host       string   // the address to listen at
-	Peers      []string // where each scheduler of the pool takes messages, by number: the real ones come first
+	Endpoints  []string // of the workers
+	Peers      []string // where each scheduler of the pool takes messages, by number: the real ones
 }
 
 // Order is what a hollow process is asked to do.
 type Order struct {
-	Do    string        // start, stats, stop, lose, return, freeze
+	Do    string        // stats, start, lose, return, freeze
 	For   time.Duration // start: so long the pool is filled
-	Zone  int           // lose, return
-	Count int
+	Count int           // lose: so many workers of the first zone
 }
 
 // Stats are what a hollow process has seen since its start; which of them it tells depends on its role.
 type Stats struct {
 	Discovery string   `json:",omitempty"` // where the list is, once ready
-	Endpoints []string `json:",omitempty"`
-	// of the fleet, by scheduler
-	Starts, Probes, Cancels, News                 []int64 `json:",omitempty"`
-	ProbeBytes, CancelBytes, TakeBytes, NewsBytes []int64 `json:",omitempty"` // with the heads of HTTP
+	Endpoints []string `json:",omitempty"` // of workers, at the beginning; of schedulers for messages
+	// of the fleet, for all schedulers
+	Starts, Probes, Cancels, News                 int64
+	ProbeBytes, CancelBytes, TakeBytes, NewsBytes int64 // with the heads of HTTP
 	Lists, ListBytes                              int64
 	Running, Changes, Strange, NewsFailed         int64
 	// of the clients
@@ -80,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	for o := (Order{Do: "stats"}); ; {
+	for o := (Order{Do: "begin"}); ; {
 		s, err := player.carry(o)
 		if err != nil {
 			return err
--- a/internal/lab/scale/result.go
+++ b/internal/lab/scale/result.go
@@ -66,25 +66,19 @@
 	seconds := last.at.Sub(first.at).Seconds()
 	m := Step{Workers: s.Workers, Schedulers: s.Schedulers, Told: s.Told, InHandAim: s.InHand, StartsAim: s.Starts, Changes: s.Changes,
 		Seconds: seconds, IdleCore: -1, Turn: ms(worst)}
-	sum := func(of []int64) (all float64) {
-		for _, v := range of {
-			all += float64(v)
-		}
-		return all
-	}
-	rate := func(a, b float64) float64 { return (b - a) / n / seconds }
-	m.Starts = (sum(last.fleet.Starts) - sum(first.fleet.Starts)) / n
+	rate := func(a, b int64) float64 { return float64(b-a) / n / seconds }
+	m.Starts = float64(last.fleet.Starts-first.fleet.Starts) / n
 	m.StartsPerS = m.Starts / seconds
-	m.NewsPerS = rate(sum(first.fleet.News), sum(last.fleet.News))
-	m.ProbesPerS = rate(sum(first.fleet.Probes), sum(last.fleet.Probes))
-	m.CancelsPerS = rate(sum(first.fleet.Cancels), sum(last.fleet.Cancels))
-	m.ProbeBytes = rate(sum(first.fleet.ProbeBytes), sum(last.fleet.ProbeBytes))
-	m.ListBytes = rate(float64(first.fleet.ListBytes), float64(last.fleet.ListBytes))
+	m.NewsPerS = rate(first.fleet.News, last.fleet.News)
+	m.ProbesPerS = rate(first.fleet.Probes, last.fleet.Probes)
+	m.CancelsPerS = rate(first.fleet.Cancels, last.fleet.Cancels)
+	m.ProbeBytes = rate(first.fleet.ProbeBytes, last.fleet.ProbeBytes)
+	m.ListBytes = rate(first.fleet.ListBytes, last.fleet.ListBytes)
 	m.ChangesPerS = float64(last.fleet.Changes-first.fleet.Changes) / seconds
-	m.MessagesPerS = rate(float64(first.others.MessagesIn+first.others.MessagesOut), float64(last.others.MessagesIn+last.others.MessagesOut))
-	m.MessageBytes = rate(float64(first.others.MessageBytesIn+first.others.MessageBytesOut), float64(last.others.MessageBytesIn+last.others.MessageBytesOut))
+	m.MessagesPerS = rate(first.others.MessagesIn+first.others.MessagesOut, last.others.MessagesIn+last.others.MessagesOut)
+	m.MessageBytes = rate(first.others.MessageBytesIn+first.others.MessageBytesOut, last.others.MessageBytesIn+last.others.MessageBytesOut)
 	m.Control = m.ProbeBytes + 2*tcpHead*m.ProbesPerS + m.MessageBytes + udpHead*m.MessagesPerS +
-		rate(sum(first.fleet.CancelBytes), sum(last.fleet.CancelBytes)) + 2*tcpHead*m.CancelsPerS
+		rate(first.fleet.CancelBytes, last.fleet.CancelBytes) + 2*tcpHead*m.CancelsPerS
 	cpu, system, idled := 0.0, 0.0, 0.0
 	for i := range last.used {
 		cpu += (last.used[i].CPU - first.used[i].CPU).Seconds()
@@ -113,7 +107,7 @@
 	a, b := first.clients, last.clients
 	m.Offered, m.Succeeded, m.Throttled = b.Offered-a.Offered, b.Succeeded-a.Succeeded, b.Throttled-a.Throttled
 	m.Errored, m.Broken = b.Errored-a.Errored, b.Broken-a.Broken
-	m.NewsFailed, m.Strange = last.fleet.NewsFailed-first.fleet.NewsFailed, last.fleet.Strange-first.fleet.Strange
+	m.NewsFailed, m.Strange = last.fleet.NewsFailed-first.fleet.NewsFailed, last.fleet.Strange-first.fleet.Strange+last.others.Strange-first.others.Strange
 	m.LateMost = ms(b.LateMost)
 	return m
 }
--- a/internal/lab/scale/rig.go
+++ b/internal/lab/scale/rig.go
@@ -106,7 +106,7 @@
 	return addrs, nil
 }
 
-func (x *run) hollow(role string, peers []string) (*process, Stats, error) {
+func (x *run) hollow(role string, endpoints, peers []string) (*process, Stats, error) {
 	cmd := exec.Command(x.Hollow[0], x.Hollow[1:]...)
 	cmd.Env = append(os.Environ(), "GOMEMLIMIT=2GiB")
 	p, err := start("hollow "+role, cmd, true, x.died)
@@ -114,7 +114,7 @@
 		return nil, Stats{}, err
 	}
 	x.all = append(x.all, p)
-	s, err := p.order(Part{Role: role, Scenario: x.s, Schedulers: x.listens, Host: host(otherHost), Peers: peers})
+	s, err := p.order(Part{Role: role, Scenario: x.s, Schedulers: x.listens, Host: host(otherHost), Endpoints: endpoints, Peers: peers})
 	return p, s, err
 }
 
@@ -124,10 +124,10 @@
 		return err
 	}
 	var told Stats
-	if x.fleet, told, err = x.hollow(FleetRole, nil); err != nil {
+	if x.fleet, told, err = x.hollow(FleetRole, nil, nil); err != nil {
 		return err
 	}
-	if x.clients, _, err = x.hollow(ClientsRole, nil); err != nil {
+	if x.clients, _, err = x.hollow(ClientsRole, nil, nil); err != nil {
 		return err
 	}
 	var peers []string
@@ -136,7 +136,7 @@
 			return err
 		}
 		var heard Stats
-		if x.others, heard, err = x.hollow(OthersRole, peers); err != nil {
+		if x.others, heard, err = x.hollow(OthersRole, told.Endpoints, peers); err != nil {
 			return err
 		}
 		peers = heard.Endpoints
