--- a/internal/lab/scale/result.go
+++ b/internal/lab/scale/result.go
@@ -59,6 +59,27 @@
 	Offered, Succeeded, Throttled, Errored, Broken, NewsFailed, Strange int64
 	Panics                                                              int
 	LateMost                                                            float64 `json:"clients_late_most_ms"`
+
+	Course []Moment `json:"course"` // of the window
+}
+
+// Moment is how a window went up to some moment, of the first scheduler.
+type Moment struct {
+	Seconds     float64 `json:"seconds"`
+	Starts      int64   `json:"starts"`
+	Changes     int64   `json:"entries_changed"`
+	CPU         float64 `json:"cpu_seconds"`
+	RSS         float64 `json:"rss_mb"`
+	Heap        float64 `json:"heap_mb"`
+	Collections int64   `json:"collections"`
+	Turn        float64 `json:"worst_turn_10s_ms"`
+}
+
+func moment(first, now sample) Moment {
+	c := now.counts[0]
+	return Moment{Seconds: now.at.Sub(first.at).Seconds(), Starts: now.fleet.Starts - first.fleet.Starts, Changes: now.fleet.Changes - first.fleet.Changes,
+		CPU: (now.used[0].CPU - first.used[0].CPU).Seconds(), RSS: mb(now.used[0].RSS), Heap: mb(c.Heap),
+		Collections: c.Collection - first.counts[0].Collection, Turn: ms(c.lately())}
 }
 
 func (x *run) step(before, idle, first, last sample, worst time.Duration) Step {
--- a/internal/lab/scale/rig.go
+++ b/internal/lab/scale/rig.go
@@ -273,6 +273,7 @@
 func (x *run) measure() (m Step, err error) {
 	var first, last, before sample
 	var worst time.Duration
+	var course []sample
 	if before, err = x.look(); err != nil {
 		return m, err
 	}
@@ -338,13 +339,14 @@
 		} else if now.Before(poll) {
 			continue
 		}
-		for n := range x.schedulers {
-			c, err := x.counts(n)
-			if err != nil {
-				return m, err
-			}
+		now, err := x.look()
+		if err != nil {
+			return m, err
+		}
+		for _, c := range now.counts {
 			worst = max(worst, c.lately())
 		}
+		course = append(course, now)
 		poll = poll.Add(pollEvery)
 	}
 	if last, err = x.look(); err != nil {
@@ -353,7 +355,11 @@
 	for _, c := range last.counts {
 		worst = max(worst, c.lately())
 	}
-	return x.step(before, idle, first, last, worst), nil
+	m = x.step(before, idle, first, last, worst)
+	for _, now := range append(course, last) {
+		m.Course = append(m.Course, moment(first, now))
+	}
+	return m, nil
 }
 
 // lately is the worst turn of the last while; below 0: this program does not tell.
--- a/internal/lab/scale/scenario.go
+++ b/internal/lab/scale/scenario.go
@@ -123,7 +123,7 @@
 
 const (
 	mostWorkers, mostSchedulers, mostTold = 8000, 60, 300
-	mostInHand, mostStarts, mostChanges   = 8000, 2000, 500
+	mostInHand, mostStarts, mostChanges   = 8000, 2000, 1000
 	mostLength                            = 10 * time.Minute
 )
 
@@ -220,7 +220,7 @@
 	if s.Changes == 0 {
 		return 0
 	}
-	return max(8, int(s.Changes*10))
+	return max(8, min(int(s.Changes*10), 2000))
 }
 
 // sockets is what a scheduler is allowed: half of it is the most that it takes in hand.
