--- a/internal/lab/scale/rig.go
+++ b/internal/lab/scale/rig.go
@@ -106,7 +106,7 @@
 	return addrs, nil
 }
 
-func (x *run) hollow(role string, peers []string) (*process, Stats, error) {
+func (x *run) hollow(role string, endpoints, peers []string) (*process, Stats, error) {
 	cmd := exec.Command(x.Hollow[0], x.Hollow[1:]...)
 	cmd.Env = append(os.Environ(), "GOMEMLIMIT=2GiB")
 	p, err := start("hollow "+role, cmd, true, x.died)
@@ -114,7 +114,7 @@
 		return nil, Stats{}, err
 	}
 	x.all = append(x.all, p)
-	s, err := p.order(Part{Role: role, Scenario: x.s, Schedulers: x.listens, Host: host(otherHost), Peers: peers})
+	s, err := p.order(Part{Role: role, Scenario: x.s, Schedulers: x.listens, Host: host(otherHost), Endpoints: endpoints, Peers: peers})
 	return p, s, err
 }
 
@@ -124,10 +124,10 @@
 		return err
 	}
 	var told Stats
-	if x.fleet, told, err = x.hollow(FleetRole, nil); err != nil {
+	if x.fleet, told, err = x.hollow(FleetRole, nil, nil); err != nil {
 		return err
 	}
-	if x.clients, _, err = x.hollow(ClientsRole, nil); err != nil {
+	if x.clients, _, err = x.hollow(ClientsRole, nil, nil); err != nil {
 		return err
 	}
 	var peers []string
@@ -136,7 +136,7 @@
 			return err
 		}
 		var heard Stats
-		if x.others, heard, err = x.hollow(OthersRole, peers); err != nil {
+		if x.others, heard, err = x.hollow(OthersRole, told.Endpoints, peers); err != nil {
 			return err
 		}
 		peers = heard.Endpoints
@@ -273,6 +273,7 @@
 func (x *run) measure() (m Step, err error) {
 	var first, last, before sample
 	var worst time.Duration
+	var course []sample
 	if before, err = x.look(); err != nil {
 		return m, err
 	}
@@ -338,13 +339,14 @@
 		} else if now.Before(poll) {
 			continue
 		}
-		for n := range x.schedulers {
-			c, err := x.counts(n)
-			if err != nil {
-				return m, err
-			}
+		now, err := x.look()
+		if err != nil {
+			return m, err
+		}
+		for _, c := range now.counts {
 			worst = max(worst, c.lately())
 		}
+		course = append(course, now)
 		poll = poll.Add(pollEvery)
 	}
 	if last, err = x.look(); err != nil {
@@ -353,7 +355,11 @@
 	for _, c := range last.counts {
 		worst = max(worst, c.lately())
 	}
-	return x.step(before, idle, first, last, worst), nil
+	m = x.step(before, idle, first, last, worst)
+	for _, now := range append(course, last) {
+		m.Course = append(m.Course, moment(first, now))
+	}
+	return m, nil
 }
 
 // lately is the worst turn of the last while; below 0: this program does not tell.
