--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -79,6 +80,28 @@
 	}
 }
 
+// enter puts a card on the board. The pool is in the order in which its workers were last asked.
+func (k *desk) enter(n *card) {
+	old := k.entry(n.at)
+	joins, leaves := n.open && (n.seen > old.seen || !old.open), !n.open && old.open
+	if n.busy && !old.watched {
+		k.busy, old.watched = append(k.busy, n.at), true
+	}
+	if old.card, old.beat = *n, k.beats; joins || leaves {
+		k.pool, old.pooled = slices.DeleteFunc(k.pool, func(at int) bool { return at == n.at }), joins
+	}
+	if joins {
+		k.pool = append(k.pool, n.at)
+	}
+}
+
+// leave takes the one at a place out of the pool, with its card as it is now: no more rounds reach it there.
+func (k *desk) leave(place int) {
+	k.current(k.pool[place])
+	k.board[k.pool[place]].pooled = false
+	k.pool = slices.Delete(k.pool, place, place+1)
+}
+
 // begin writes a round down. Only those look at the time for whom something is due, and the first, so that the pool is
 // brought to its size; nothing would come of it for the others.
 func (k *desk) begin() {
--- a/dispatch/cost_test.go
+++ b/dispatch/cost_test.go
@@ -9,13 +9,16 @@
 
 // cost plays one of fifteen schedulers of a fleet: 48 starts a second whatever its size, running times that grow with it
 // (so that each worker always has some 23 slots taken by all), reports of what is free, no trouble.
-func cost(workers int) *world {
+func cost(workers int) *world { return costOf(workers, 0.4) }
+
+// costOf has others take a part of all slots on average.
+func costOf(workers int, share float64) *world {
 	dep := shop()
 	dep.Peers, dep.Me, dep.TellsStart, dep.Progress = 15, 3, true, 0
 	dep.Operations = dep.Operations[:1]
 	dep.Operations[0].LatencyObjective, dep.Operations[0].Stretch = 4*time.Second, 3
 	w := newWorld(1, workers, dep)
-	w.trouble, w.rate, w.hint, w.share = 0, 48, 5900.0/48*float64(workers)/3800, 0.4
+	w.trouble, w.rate, w.hint, w.share = 0, 48, 5900.0/48*float64(workers)/3800, share
 	for _, a := range w.workers {
 		a.slots, a.speed = 8, 1 // of twenty-four; the others' part comes and goes
 	}
@@ -77,32 +80,84 @@
 	return m
 }
 
+func report(b *testing.B, w *world) {
+	const span = 100
+	m, out := w.measure(span*time.Second), 0
+	for _, c := range w.invs {
+		for _, t := range c.tries {
+			if t.out {
+				out++
+			}
+		}
+	}
+	b.ReportMetric(float64(out), "in-hand")
+	b.ReportMetric(float64(m.spent.Microseconds())/float64(m.starts), "us/start")
+	b.ReportMetric(m.spent.Seconds()*100/span, "%core")
+	b.ReportMetric(float64(m.worst.Microseconds())/1000, "worst-ms")
+	b.ReportMetric(float64(m.over), "turns>2ms")
+	b.ReportMetric(float64(m.allocations)/span, "allocs/s")
+	b.ReportMetric(float64(m.heap)/1e6, "heap-MB")
+	b.ReportMetric(float64(m.turns)/span, "turns/s")
+	b.ReportMetric(0, "ns/op")
+}
+
 // BenchmarkStart tells what a start costs as the fleet grows: go test ./dispatch -run - -bench Start -benchtime 1x. The
 // allocations are those of the module and of the world around it, which has the same at each size.
 func BenchmarkStart(b *testing.B) {
 	for _, workers := range []int{60, 240, 950, 3800} {
-		b.Run(fmt.Sprint(workers), func(b *testing.B) {
-			for range b.N {
-				w := cost(workers)
-				m := w.measure(100 * time.Second)
-				out := 0
-				for _, c := range w.invs {
-					for _, t := range c.tries {
-						if t.out {
-							out++
-						}
-					}
-				}
-				b.ReportMetric(float64(out), "in-hand")
-				b.ReportMetric(float64(m.spent.Microseconds())/float64(m.starts), "us/start")
-				b.ReportMetric(100*m.spent.Seconds()/100, "%core")
-				b.ReportMetric(float64(m.worst.Microseconds())/1000, "worst-ms")
-				b.ReportMetric(float64(m.over), "turns>2ms")
-				b.ReportMetric(float64(m.allocations)/100, "allocs/s")
-				b.ReportMetric(float64(m.heap)/1e6, "heap-MB")
-				b.ReportMetric(float64(m.turns)/100, "turns/s")
-				b.ReportMetric(0, "ns/op")
+		b.Run(fmt.Sprint(workers), func(b *testing.B) { report(b, cost(workers)) })
+	}
+}
+
+// BenchmarkFull is the same where work is held again and again, as there is room at few workers.
+func BenchmarkFull(b *testing.B) {
+	for _, workers := range []int{60, 240, 950, 3800} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) { report(b, costOf(workers, 0.9)) })
+	}
+}
+
+// BenchmarkStorm has 3,800 workers with, at once or each alone: 20 replacements a second, a whole list each second, 250
+// that return cold, reports that are frozen.
+func BenchmarkStorm(b *testing.B) {
+	replace := func(w *world) {
+		w.every(50*ms, func() {
+			old := w.workers[w.rng.Intn(len(w.workers))]
+			for old.Standing == Gone {
+				old = w.workers[w.rng.Intn(len(w.workers))]
+			}
+			old.Standing = Gone
+			a := w.join()
+			a.slots, a.speed, a.Restarted, a.StartedAt = 8, 1, true, w.now
+			w.handle(Listing{Form: ListDelta, Entries: []Entry{old.Entry, a.Entry}})
+		})
+	}
+	whole := func(w *world) { w.every(time.Second, func() { w.handle(w.whole()) }) }
+	cold := func(w *world) {
+		w.then(time.Second, func() {
+			var delta []Entry
+			for _, a := range w.workers[:250] {
+				a.Restarted, a.StartedAt, a.Start, a.inHand = true, w.now, w.rng.Uint64(), 0
+				delta = append(delta, a.Entry)
+			}
+			w.handle(Listing{Form: ListDelta, Entries: delta})
+		})
+	}
+	frozen := func(w *world) {
+		for _, a := range w.workers {
+			a.frozen = true
+		}
+	}
+	for _, c := range []struct {
+		name string
+		do   []func(*world)
+	}{{"replaced", []func(*world){replace}}, {"whole", []func(*world){whole}}, {"cold", []func(*world){cold}},
+		{"frozen", []func(*world){frozen}}, {"all", []func(*world){replace, whole, cold, frozen}}} {
+		b.Run(c.name, func(b *testing.B) {
+			w := cost(3800)
+			for _, do := range c.do {
+				do(w)
 			}
+			report(b, w)
 		})
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -512,24 +512,13 @@
 	}
 }
 
-// post keeps the board, and the pool in the order in which its workers were last asked.
+// post keeps the board, and the pool within its size.
 func (k *desk) post(n *card) {
 	n.showPace(k.paced, k.all)
-	old := k.entry(n.at)
-	joins, leaves := n.open && (n.seen > old.seen || !old.open), !n.open && old.open
-	if n.busy && !old.watched {
-		k.busy, old.watched = append(k.busy, n.at), true
-	}
-	if old.card, old.beat = *n, k.beats; joins || leaves {
-		k.pool, old.pooled = slices.DeleteFunc(k.pool, func(at int) bool { return at == n.at }), joins
-	}
-	if joins {
-		k.pool = append(k.pool, n.at)
-	}
+	k.enter(n)
 	for n := 0; len(k.pool) > int(k.size) && n < len(k.pool); {
 		if c := k.current(k.pool[n]); c.lot >= crowd || c.warmth == 1 {
-			k.board[c.at].pooled = false
-			k.pool = slices.Delete(k.pool, n, n+1)
+			k.leave(n)
 		} else if n++; k.now > c.seen+reach/4 { // we are one of few that may use it
 			k.door.list[c.at].worker.put(ask{k.all, false})
 		}
