--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -68,6 +68,9 @@
 			d.ask(d.keeps[d.own/2%len(d.keeps)], n, ask{n.view, false})
 		}
 	case Listing:
+		if d.whole, d.noted = n.Form == ListWhole, false; d.whole {
+			d.desk.relist()
+		}
 		d.follow(n)
 	case Told:
 		d.hear(n)
@@ -122,6 +125,7 @@
 
 func (d *Dispatcher) enlist(at int, e Entry) {
 	p := &d.list[at]
+	same := d.whole && d.noted && p.Entry == e
 	starts := e.Restarted && e.Standing == Ready && (!p.Restarted || e.StartedAt > p.StartedAt)
 	if p.Entry, p.version = e, d.version; starts {
 		p.lot = d.lot(e.Start)
@@ -131,7 +135,9 @@
 		d.order = append(d.order, at)
 		d.order[n], d.order[len(d.order)-1], p.inOrder = at, d.order[n], true
 	}
-	d.relist(at)
+	if !same {
+		d.relist(at)
+	}
 	if starts && p.lot < crowd && d.now < e.StartedAt+d.warmAfter { // at our start too: who knew has forgotten
 		d.meet(at).put(ask{view{run: 1}, false})
 	}
