--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -49,28 +49,21 @@
 }
 
 // current is a worker's card as of the last round that it had part in: those with work of ours in each, all others of the
-// pool in those where something was held, all that are listed in those that a whole list brings.
+// pool in those where something was held.
 func (k *desk) current(at int) *card {
 	if at >= len(k.board) || k.board[at] == nil {
 		return nil
 	}
-	s, r, l := k.board[at], &k.everyone, &k.relisted
+	s := k.board[at]
+	r := &k.everyone
 	if s.watched {
 		r = &k.round
 	} else if !s.pooled {
-		r = &round{}
-	}
-	if s.beat >= max(r.beat, l.beat) {
 		return &s.card
 	}
-	w := k.door.list[at].worker
 	if s.beat < r.beat {
+		w := k.door.list[at].worker
 		w.all = r.view
-	}
-	if r.beat < l.beat && w.standing != Gone { // a list hands no view over
-		r = l
-	}
-	if s.beat < r.beat {
 		w.estimate(r.at)
 		s.beat, s.card = r.beat, w.card
 		s.showPace(r.paced, r.view)
@@ -78,12 +71,6 @@
 	return &s.card
 }
 
-// relist writes down that a whole list has come: whoever stands in it as before has a part in that, and needs no note.
-func (k *desk) relist() {
-	k.beats++
-	k.relisted = round{k.beats, k.now, k.all, k.paced}
-}
-
 // anew brings all cards up to date before something changes that all depend on; then all look at the time once.
 func (k *desk) anew() {
 	for at, s := range k.board {
--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -34,7 +34,7 @@
 			do()
 			k := &w.d.desk
 			for at, s := range k.board {
-				if s == nil || k.round.beat < k.relisted.beat || k.round.beat == 0 || !s.watched || s.beat >= k.round.beat {
+				if s == nil || k.round.beat == 0 || !s.watched || s.beat >= k.round.beat {
 					continue
 				}
 				if k.now >= s.due && s.due < k.round.at {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -68,9 +68,6 @@
 			d.ask(d.keeps[d.own/2%len(d.keeps)], n, ask{n.view, false})
 		}
 	case Listing:
-		if d.whole, d.noted = n.Form == ListWhole, false; d.whole {
-			d.desk.relist()
-		}
 		d.follow(n)
 	case Told:
 		d.hear(n)
@@ -125,7 +122,6 @@
 
 func (d *Dispatcher) enlist(at int, e Entry) {
 	p := &d.list[at]
-	same := d.whole && d.noted && p.Entry == e
 	starts := e.Restarted && e.Standing == Ready && (!p.Restarted || e.StartedAt > p.StartedAt)
 	if p.Entry, p.version = e, d.version; starts {
 		p.lot = d.lot(e.Start)
@@ -135,9 +131,7 @@
 		d.order = append(d.order, at)
 		d.order[n], d.order[len(d.order)-1], p.inOrder = at, d.order[n], true
 	}
-	if !same {
-		d.relist(at)
-	}
+	d.relist(at)
 	if starts && p.lot < crowd && d.now < e.StartedAt+d.warmAfter { // at our start too: who knew has forgotten
 		d.meet(at).put(ask{view{run: 1}, false})
 	}
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -58,7 +58,6 @@
 func (d *Dispatcher) relist(at int) {
 	if p := &d.list[at]; p.worker != nil {
 		p.worker.put(listed{p.Entry, p.lot, p.keeper})
-		d.noted = true
 	}
 }
 
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -458,7 +458,6 @@
 	sentTo                map[[2]int]int // where other schedulers' forwards are, by their numbers and serials
 	invAt                 map[InvID]int
 	asks, follows         bool
-	whole, noted          bool // a whole list is read; a worker that was met has had a note of it
 	turn, failed, version int
 	peers                 float64
 	wakeAt, within, askAt time.Duration // askAt: when to ask for the list again if nothing has come by then
@@ -598,7 +597,7 @@
 	invs                            []inv
 	held                            []int   // by rank, highest first
 	board                           []*seat // nil: never met
-	round, everyone, relisted       round   // the last beat, the last one with something held, the last whole list
+	round, everyone                 round   // the last beat, and the last one with something held
 	toAsk                           []asked
 	pool, busy, spare               []int           // asked last is last; with work of ours or aside; of invs
 	paced                           map[int]float64 // their middle
