--- /dev/null
+++ b/internal/conn/loop_test.go
@@ -0,0 +1,33 @@
+package conn
+
+import (
+	"testing"
+	"time"
+)
+
+type busy struct {
+	*Loop
+	span time.Duration
+}
+
+// Take keeps the loop from all else.
+func (b busy) Take() {
+	for began := time.Now(); time.Since(began) < b.span; {
+	}
+	b.Stop()
+}
+
+// A turn counts from the first note that it takes in; the worst one of the last while ends with that while.
+func TestTurns(t *testing.T) {
+	l := NewLoop(time.Now())
+	l.Put(busy{l, 20 * time.Millisecond})
+	l.Run(func() {})
+	turns := l.Turns()
+	if turns.Count != 1 || turns.Worst < 20*time.Millisecond || turns.Lately != turns.Worst {
+		t.Errorf("%+v", turns)
+	}
+	l.start = l.start.Add(-2 * recentSpans * recentSpan) // so much later
+	if later := l.Turns(); later.Lately != 0 || later.Worst != turns.Worst {
+		t.Errorf("%+v", later)
+	}
+}
