--- a/cmd/stoatweir/lab_scale_test.go
+++ b/cmd/stoatweir/lab_scale_test.go
@@ -51,7 +51,7 @@
 // A small sweep over workers: what a start costs in messages, probes, descriptors and allocations, and how that grows. Times
 // are not compared, as they differ from machine to machine.
 func TestScaleSweep(t *testing.T) {
-	s, err := scale.Read(labFiles + "scale-small.toml")
+	s, err := scale.Read(labFiles + "scale/small.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -94,7 +94,7 @@
 
 // A hollow process that dies ends the run with its name, and nothing stays behind.
 func TestScaleHollowDies(t *testing.T) {
-	s, err := scale.Read(labFiles+"scale-small.toml", `window = "60s"`)
+	s, err := scale.Read(labFiles+"scale/small.toml", `window = "60s"`)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -130,7 +130,7 @@
 
 // Whatever becomes of the rig, what it has started goes with it.
 func TestScaleRigDies(t *testing.T) {
-	rig := exec.Command(program(t), "lab", "scale", labFiles+"scale-small.toml", "--set", `window = "60s"`)
+	rig := exec.Command(program(t), "lab", "scale", labFiles+"scale/small.toml", "--set", `window = "60s"`)
 	if err := rig.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/scale/limits_test.go
+++ b/internal/lab/scale/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -58,3 +59,31 @@
 		t.Error(err)
 	}
 }
+
+// What is shipped can be played, also by a machine with as many descriptors as ours.
+func TestShipped(t *testing.T) {
+	files, _ := filepath.Glob("../../../deploy/lab/scale/*.toml")
+	if len(files) < 10 {
+		t.Fatal(files)
+	}
+	for _, file := range files {
+		s, err := Read(file)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		values := s.Sweep.Values
+		if s.Sweep.Key == "" {
+			values = []float64{0}
+		}
+		for _, v := range values {
+			step, err := s.Step(v)
+			if err == nil {
+				err = step.Fits(Machine{Descriptors: 20000, Memory: 24 << 30, Processes: mostProcesses, Ports: 28000})
+			}
+			if err != nil {
+				t.Error(file, v, err)
+			}
+		}
+	}
+}
