--- a/cmd/stoatweir/rig_test.go
+++ b/cmd/stoatweir/rig_test.go
@@ -93,10 +93,17 @@
 	os.Exit(code)
 }
 
-// addr is a free address.
+// ownHost is a loopback address of this process. On 127.0.0.1 a port that was free a moment ago may be one of a connection
+// that another package's tests have just begun.
+func ownHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 32+pid>>16&63, pid>>8&255, pid&255)
+}
+
+// freeAddr is an address that nobody listens at.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ownHost()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
