--- /dev/null
+++ b/internal/conn/capacity_test.go
@@ -0,0 +1,100 @@
+package conn
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The figures of docs/CAPACITY.md for connections: what one holds in memory, by what it is doing. The kernel's part is not in it.
+
+// holder is an owner that leaves a connection as it is.
+type holder struct{ read int }
+
+func (h *holder) Up(*Conn)           {}
+func (h *holder) Read(c *Conn)       { h.read++; c.In.Drop(c.In.Len()) }
+func (h *holder) Sent(*Conn)         {}
+func (h *holder) Down(*Conn, Ending) {}
+
+// BenchmarkConnections adopts so many: mute ones have said nothing, those in hand have brought a request and wait for its
+// answer, written ones have had one too.
+func BenchmarkConnections(b *testing.B) {
+	for _, state := range []string{"mute", "in_hand", "written"} {
+		for _, n := range []int{375, 750, 1500, 3000, 6000} {
+			b.Run(fmt.Sprint(state, "/", n), func(b *testing.B) {
+				for b.Loop() {
+					b.ReportMetric(each(b, state, n), "bytes/conn")
+				}
+			})
+		}
+	}
+}
+
+func each(b *testing.B, state string, n int) float64 {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	var near, far []net.Conn
+	defer func() {
+		for _, c := range append(near, far...) {
+			c.Close()
+		}
+	}()
+	for range n {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			b.Fatal(err)
+		}
+		far = append(far, c)
+		if c, err = l.Accept(); err != nil {
+			b.Fatal(err)
+		}
+		near = append(near, c)
+	}
+	loop, h, request, answer := NewLoop(time.Now()), &holder{}, strings.Repeat("x", 900), []byte(strings.Repeat("y", 300))
+	share, all := loop.Share(n), make([]*Conn, 0, n)
+	before := held()
+	for _, c := range near {
+		all = append(all, share.Adopt(c, h))
+	}
+	if state != "mute" {
+		for _, c := range far {
+			io.WriteString(c, request)
+		}
+		await(loop, "all requests", func() bool { return h.read >= n })
+	}
+	if state == "written" {
+		for _, c := range all {
+			c.Write(answer)
+		}
+		await(loop, "all answers", func() bool {
+			for _, c := range all {
+				if c.Unsent() > 0 {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	took := float64(held()-before) / float64(n)
+	for _, c := range all {
+		c.Close()
+	}
+	runtime.KeepAlive(all)
+	return took
+}
+
+// held is the memory of live objects and of goroutines.
+func held() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC() // what a pool has kept over the first goes with the second
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
--- /dev/null
+++ b/internal/discovery/capacity_test.go
@@ -0,0 +1,103 @@
+package discovery
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"stoatweir/internal/conn"
+)
+
+// The figures of docs/CAPACITY.md for the list: what one costs to read, by its entries, and what stays of workers that are gone.
+
+// entries writes so many entries of a list, from one place on.
+func entries(from, n int, state string) string {
+	all := make([]string, n)
+	for i := range all {
+		at := from + i
+		all[i] = fmt.Sprintf(`{"uid":"worker-%06d","endpoint":"10.%d.%d.%d:7000","az":"region-%d-zone-%d","model":"accelerator-%d","state":%q,`+
+			`"pod_group":%d,"boot_ms":%d}`, at, at>>16, at>>8&255, at&255, at%5, at%3, at%4, state, at/40, 1_790_000_000_000+int64(at))
+	}
+	return strings.Join(all, ",")
+}
+
+func listOf(rev, from, n int, whole bool, state string) []byte {
+	return fmt.Appendf(nil, `{"rev":%d,"all":%v,"targets":[%s]}`, rev, whole, entries(from, n, state))
+}
+
+func knowing(b *testing.B, n int) *Watcher {
+	w := New(conn.NewLoop(time.Now()), "127.0.0.1:1", nil, nil, time.Now())
+	if _, err := w.Parse(listOf(1, 0, n, true, "Ready")); err != nil {
+		b.Fatal(err)
+	}
+	return w
+}
+
+// BenchmarkListWhole reads a whole list from its bytes: the search for its end, its text, and the names.
+func BenchmarkListWhole(b *testing.B) {
+	for _, n := range []int{60, 240, 950, 1900, 3800} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			w, text := knowing(b, n), listOf(2, 0, n, true, "Ready")
+			b.ResetTimer()
+			for b.Loop() {
+				var v value
+				if _, step := v.feed(text); step != complete {
+					b.Fatal("it has no end")
+				}
+				if list, err := w.Parse(v.text); err != nil || len(list.Workers) != n {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text))/float64(n), "bytes/entry")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/entry")
+		})
+	}
+}
+
+// BenchmarkListChange reads the three changes that one replacement makes: one drains, one is gone, one is new.
+func BenchmarkListChange(b *testing.B) {
+	for _, n := range []int{60, 950, 1900, 3800} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			w := knowing(b, n)
+			text := fmt.Appendf(nil, `{"rev":3,"all":false,"targets":[%s,%s,%s]}`, entries(0, 1, "Terminating"), entries(1, 1, "Gone"),
+				entries(n, 1, "Ready"))
+			for b.Loop() {
+				if _, err := w.Parse(text); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text)), "bytes")
+		})
+	}
+}
+
+// BenchmarkListGone tells what memory is left of workers that were replaced, each by one of another name.
+func BenchmarkListGone(b *testing.B) {
+	const fleet = 3800
+	for _, replaced := range []int{950, 9500, 19000, 38000} {
+		b.Run(fmt.Sprint(replaced), func(b *testing.B) {
+			for b.Loop() {
+				w, before := knowing(b, fleet), inUse()
+				for n := range replaced {
+					if _, err := w.Parse(listOf(2+n, n, 1, false, "Gone")); err != nil {
+						b.Fatal(err)
+					}
+					if _, err := w.Parse(listOf(2+n, fleet+n, 1, false, "Ready")); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(inUse()-before)/float64(replaced), "bytes/replaced")
+				b.ReportMetric(float64(len(w.ids)), "names")
+			}
+		})
+	}
+}
+
+func inUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
