--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -15,6 +15,7 @@
 	againPart  = 6                      // the longest is a sixth of that time; by chance from half of it to
 	againMore  = 1.5                    // so many times as much
 	againLeast = 50 * time.Millisecond
+	firstPart  = 8 // the first call comes within an eighth of the grace; the rest is for its answer and for our start
 )
 
 // Again is the longest wait after the first failed call for the list, and after any number of them.
@@ -37,7 +38,13 @@
 	}
 	d.tell(-1, Note{Kind: NoteAnew})
 	// The list service takes only so many calls at once: the first are spread, inside the stated time.
-	d.askAt = time.Duration(d.rng.Float64() * min(float64(d.within/2), (d.peers-1)*float64(beat)))
+	// What has changed while nobody ran here counts as told from our first moment, and only the grace is left for it: the list has to
+	// come inside that, also where many start together.
+	spread := min(float64(d.within/2), (d.peers-1)*float64(beat))
+	if dep.Rules.Grace > 0 {
+		spread = min(spread, float64(dep.Rules.Grace/firstPart))
+	}
+	d.askAt = time.Duration(d.rng.Float64() * spread)
 	return d
 }
 
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -92,6 +92,7 @@
 // Rules are the figures of the four rules.
 type Rules struct {
 	AskWithin    time.Duration
+	Grace        time.Duration // how long a worker may still be sent to that is told to drain or gone; 0: not told
 	ColdFrom     float64
 	WarmAfter    time.Duration
 	FallMultiple float64
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,7 +115,7 @@
 			Probes: in.Limits.Probes, Cancel: in.Limits.Cancel, Tell: in.Limits.Peers, MaxOut: 1,
 		},
 		Rules: dispatch.Rules{
-			AskWithin: Span(in.Rules.AskWithin), ColdFrom: in.Rules.ColdFrom, WarmAfter: Span(in.Rules.WarmAfter),
+			AskWithin: Span(in.Rules.AskWithin), Grace: max(0, Span(in.Rules.StopSendingWithin)), ColdFrom: in.Rules.ColdFrom, WarmAfter: Span(in.Rules.WarmAfter),
 			FallMultiple: in.Rules.FallMultiple, Fall: Span(in.Rules.Fall),
 		},
 	}
