--- a/internal/http1/capacity_test.go
+++ b/internal/http1/capacity_test.go
@@ -15,7 +15,9 @@
 	bytes   []byte
 } {
 	host, id := "10.14.200.31:7000", "job-0000018842-task-0117"
-	said := func(s string, more ...any) []byte { return fmt.Appendf(nil, strings.ReplaceAll(s, "\n", "\r\n"), more...) }
+	said := func(s string, more ...any) []byte {
+		return fmt.Appendf(nil, strings.ReplaceAll(s, "\n", "\r\n"), more...)
+	}
 	news := func(state string) []byte {
 		body := fmt.Sprintf(`{"id":%q,"from":"worker-003121","state":%q,"share":0.42}`, id, state)
 		return said("POST /_jobs/news HTTP/1.1\nHost: 10.0.0.2:8080\nContent-Type: application/json\nContent-Length: %d\n\n%s", len(body), body)
--- a/internal/settings/capacity_test.go
+++ b/internal/settings/capacity_test.go
@@ -95,4 +95,3 @@
 		}
 	}
 }
-
