A request is checked beside its write, and nothing of it goes out past its time

Cause: Fleet.ForwardUntil compared the window, the time left and the client with Loop.Now, which is read once a turn, and gave the bytes to a ring from which another goroutine wrote when it was run; what a socket did not take at once was written on whenever it could be. A process that gets little of a core wrote past the window for repeats and the client timeout. Change: Conn.Send asks Fleet.allowed directly before the first system call, which the loop makes itself, on a fresh clock. What is left goes out before the bound or not at all: the connection ends without the last byte, which proves that it has not run. Every request to a worker passes line.send. Sends that are stopped are counted by reason (workers.Stopped in the counts). Example_timeTold compared the time told with the loop's moment; it compares with the clock now, within what passed during the call, and asks for the bound too.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -65,7 +65,9 @@
 	out              ring.Buffer
 	rest             []byte // waits for room in out
 	first            []byte // is being read into, as long as there is no ring
-	toRead, toWrite  chan []byte
+	toRead           chan []byte
+	toWrite          chan outRun
+	writeUntil       time.Time   // bounds what is queued; zero: nothing does
 	reading, writing bool        // a run of bytes is with the goroutine
 	arrived          atomic.Bool // something has been read, or the end, and waits in the inbox
 	up, ended, quits bool
@@ -141,14 +143,10 @@
 
 // writes begins the other way, with the first bytes that there are for it.
 func (c *Conn) writes() {
-	c.toWrite = make(chan []byte, 1)
+	c.toWrite = make(chan outRun, 1)
 	go func() {
-		for b := range c.toWrite {
-			c.net.SetWriteDeadline(time.Now().Add(writeWithin))
-			n, err := c.net.Write(b)
-			if n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-				err = nil // the rest is handed over again
-			}
+		for run := range c.toWrite {
+			n, err := run.write(c.net)
 			c.loop.Put(note{Conn: c, n: n, err: err, what: wrote})
 		}
 	}()
@@ -412,7 +410,7 @@
 		if c.writing = true; c.toWrite == nil {
 			c.writes()
 		}
-		c.toWrite <- b
+		c.toWrite <- outRun{b, c.writeUntil}
 	}
 }
 
--- a/internal/conn/loop.go
+++ b/internal/conn/loop.go
@@ -55,6 +55,18 @@
 // Now is the time since the start, read once for each note: all that a note causes happens at one moment.
 func (l *Loop) Now() time.Duration { return l.now }
 
+// Clock is the time since the start, read now. Notes and decisions go by Now; this is for what must hold in the very moment of a
+// system call, as a process that gets little of a core may be late by more than a rule allows.
+func (l *Loop) Clock() time.Duration { return time.Since(l.start) }
+
+// wall is a time of this loop as the system's functions take it; 0 stays none.
+func (l *Loop) wall(at time.Duration) time.Time {
+	if at == 0 {
+		return time.Time{}
+	}
+	return l.start.Add(at)
+}
+
 // Put leaves a note; any goroutine may.
 func (l *Loop) Put(n Note) { l.inbox <- n }
 
--- /dev/null
+++ b/internal/conn/send.go
@@ -0,0 +1,124 @@
+package conn
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Outgoing is a message that may become forbidden before it can be written.
+type Outgoing struct {
+	Bytes []byte
+	// Until bounds every byte of it, by the loop's clock; 0: nothing does.
+	Until time.Duration
+	// Allowed is asked directly before the first byte is written. Open allows it, any other ending is why not. Nil: allowed.
+	Allowed func() Ending
+}
+
+// Send writes a message over a connection that has nothing queued. Open says that some of it has been written; any other ending is
+// why nothing was. What the socket does not take at once follows in the background. If that takes until m.Until, the connection
+// ends CutShort: the last byte is never written.
+//
+// The permission is asked and the first bytes are written in one go, as a goroutine of its own may run late.
+func (c *Conn) Send(m Outgoing) Ending {
+	if c.ended || c.quits || c.Unsent() > 0 {
+		return CutShort
+	}
+	if m.Allowed != nil {
+		if why := m.Allowed(); why != Open {
+			return why
+		}
+	}
+	if m.Until > 0 && c.loop.Clock() >= m.Until {
+		return Unsent
+	}
+	written := 0
+	if raw, is := rawSocket(c.net); is {
+		if written = writeOnce(raw, m.Bytes); written == 0 {
+			return CutShort // it is broken, which its reader will see
+		}
+	}
+	c.writeUntil = c.loop.wall(m.Until)
+	if rest := m.Bytes[written:]; len(rest) > 0 {
+		c.Write(rest)
+	}
+	return Open
+}
+
+// rawSocket is a connection's socket; a pipe has none.
+func rawSocket(nc net.Conn) (syscall.RawConn, bool) {
+	socket, is := nc.(syscall.Conn)
+	if !is {
+		return nil, false
+	}
+	raw, err := socket.SyscallConn()
+	return raw, err == nil
+}
+
+// writeOnce writes what the socket takes without waiting.
+func writeOnce(raw syscall.RawConn, b []byte) (written int) {
+	raw.Control(func(fd uintptr) {
+		n, err := unix.Write(int(fd), b)
+		for errors.Is(err, unix.EINTR) {
+			n, err = unix.Write(int(fd), b)
+		}
+		written = max(0, n)
+	})
+	return written
+}
+
+// outRun is a run of bytes for the writing goroutine.
+type outRun struct {
+	bytes []byte
+	until time.Time // no byte is written from then on; zero: nothing bounds it
+}
+
+// write writes a run as far as its time and the peer's patience go.
+func (r outRun) write(nc net.Conn) (written int, err error) {
+	deadline := time.Now().Add(writeWithin)
+	bounded := !r.until.IsZero() && r.until.Before(deadline)
+	if bounded {
+		deadline = r.until
+	}
+	nc.SetWriteDeadline(deadline)
+	if raw, is := rawSocket(nc); is && bounded {
+		written, err = r.writeSocket(raw)
+	} else {
+		written, err = nc.Write(r.bytes)
+	}
+	if written > 0 && !bounded && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = nil // a slow reader has taken some of it: the rest is handed over again
+	}
+	return written, err
+}
+
+// writeSocket looks at the clock before each system call: this goroutine may be run long after the socket has become writable.
+func (r outRun) writeSocket(raw syscall.RawConn) (written int, err error) {
+	waited := raw.Write(func(fd uintptr) (done bool) {
+		for written < len(r.bytes) {
+			if !time.Now().Before(r.until) {
+				err = os.ErrDeadlineExceeded
+				return true
+			}
+			n, failed := unix.Write(int(fd), r.bytes[written:])
+			switch {
+			case failed == nil:
+				written += n
+			case errors.Is(failed, unix.EAGAIN):
+				return false
+			case !errors.Is(failed, unix.EINTR):
+				err = os.NewSyscallError("write", failed)
+				return true
+			}
+		}
+		return true
+	})
+	if err == nil {
+		err = waited
+	}
+	return written, err
+}
--- a/internal/workers/crossings_test.go
+++ b/internal/workers/crossings_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -249,7 +250,8 @@
 	}
 }
 
-// What an attempt tells its worker of the time left is counted when it is written, and nothing is written once that is over.
+// What an attempt tells its worker of the time left is counted when it is written, by the clock and not by the loop's present
+// moment, and nothing is written once that is over.
 func Example_timeTold() {
 	s := perform()
 	j := s.job(1)
@@ -257,16 +259,27 @@
 	request := s.byNumber[number{1, 0}].ask.request
 	for _, late := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 0} { // the connection takes so long
 		j.GivenUp -= late
-		text, why := request()
-		_, told, _ := strings.Cut(string(text), "X-Budget: ")
-		told, _, _ = strings.Cut(told, "\r\n")
-		fmt.Printf("%q %v\n", told, why)
+		most := j.GivenUp - s.loop.Clock()
+		message := request()
+		if why := message.Allowed(); why != conn.Open {
+			fmt.Println(why)
+			continue
+		}
+		least := j.GivenUp - s.loop.Clock()
+		_, text, _ := strings.Cut(string(message.Bytes), "X-Budget: ")
+		text, _, _ = strings.Cut(text, "\r\n")
+		seconds, err := strconv.ParseFloat(text, 64)
+		told := time.Duration(seconds * float64(time.Second))
+		exact := err == nil && told <= most.Round(time.Millisecond) && told >= least.Round(time.Millisecond)
+		fmt.Println(message.Until == j.GivenUp, most.Round(time.Second), exact)
 	}
+	fmt.Println("stopped:", s.Counts.Stopped)
 	// Output:
-	// "5.000" open
-	// "3.000" open
-	// "" unsent
-	// "" unsent
+	// true 5s true
+	// true 3s true
+	// unsent
+	// unsent
+	// stopped: map[timeout:2]
 }
 
 // A worker that is in another zone or cell, or has started anew, when a connection to it comes up is not the one that was
--- a/internal/workers/line.go
+++ b/internal/workers/line.go
@@ -11,8 +11,8 @@
 
 // ask is one request and its answer.
 type ask struct {
-	// request is built at the moment of sending; none: it is not to be sent any more, and why.
-	request func() ([]byte, conn.Ending)
+	request func() conn.Outgoing // is built at the moment of sending
+	begun   func()               // some of it has been written; nil: nobody wants to know
 	done    func(m *http1.Message, e conn.Ending)
 	alone   bool   // an answer taken for its own that is another's could have it run twice
 	wrote   func() // its last byte has been written; nil: nobody wants to know
@@ -118,22 +118,31 @@
 	}
 }
 
+// send is the one way by which requests go to workers. False: nothing was written, and done has been called.
 func (l *line) send() bool {
-	request, why := l.ask.request()
-	moved := l.endpoint != l.worker.endpoint // who listens there now may be another
-	if moved {
-		request, why = nil, conn.Withheld
+	a := l.ask
+	if l.endpoint != l.worker.endpoint { // who listens there now may be another
+		l.finish(nil, conn.Withheld)
+		l.c.Close()
+		return false
 	}
-	if request == nil {
+	switch why := l.c.Send(a.request()); why {
+	case conn.Open:
+	case conn.CutShort: // the connection has ended before it could be used
 		l.finish(nil, why)
-		if moved {
-			l.c.Close()
-		} else {
-			l.park()
-		}
+		l.c.Close()
 		return false
+	default:
+		l.finish(nil, why)
+		l.park()
+		return false
+	}
+	if a.begun != nil {
+		a.begun()
+	}
+	if l.c.Unsent() == 0 {
+		a.out()
 	}
-	l.c.Write(request)
 	return true
 }
 
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -23,7 +23,15 @@
 	keepLeast    = 20 * time.Millisecond // a connection that lasts no longer is not kept at all
 	keepAgain    = 5 * time.Second       // after that much quiet connections are kept twice as long
 	earlyMost    = 50 * time.Millisecond // that an answer waits for the word that its request has gone out
-	leastTold    = 0.001                 // seconds left that an attempt can tell its worker
+	leastTold    = time.Millisecond      // left to the client timeout that an attempt can tell its worker
+)
+
+// Why the last check stopped a forward.
+const (
+	stoppedWorker  = "worker"  // it drains, is gone, has started anew or moved since it was chosen
+	stoppedClient  = "client"  // it has left, or has its answer
+	stoppedTimeout = "timeout" // the client timeout has passed
+	stoppedWindow  = "window"  // in which workers drop repeats: it has passed
 )
 
 // Invocation is one as it goes to a worker.
@@ -51,6 +59,7 @@
 type Counts struct {
 	Sent, Probes, Cancels, News, Strange, Dialled int
 	Ended, Answered                               map[string]int // forwards and probes, by how they ended
+	Stopped                                       map[string]int // forwards that the last check before the first byte stopped, by reason
 }
 
 // Fleet is the workers as seen from here.
@@ -104,7 +113,7 @@
 func NewFleet(loop *conn.Loop, site settings.Site, share *conn.Share) *Fleet {
 	return &Fleet{loop: loop, site: site, share: share, lasts: site.ConnIdle, workers: map[dispatch.WorkerID]*worker{},
 		byUID: map[string]*worker{}, byNumber: map[number]*forward{}, byName: map[name]*forward{},
-		Counts: Counts{Ended: map[string]int{}, Answered: map[string]int{}}}
+		Counts: Counts{Ended: map[string]int{}, Answered: map[string]int{}, Stopped: map[string]int{}}}
 }
 
 // Retune follows newer settings.
@@ -163,24 +172,15 @@
 	o.ask = &ask{
 		wrote: f.Wrote,
 		alone: inv.Once,
-		request: func() ([]byte, conn.Ending) {
-			// The connection may have taken its time to come up: nothing is sent to a worker that drains by now, or is
-			// elsewhere or started anew since it was chosen; nor past the client timeout, nor for a client that has left or
-			// has its answer, which no cancel tells where the settings allow none.
-			now := w.entry
-			if now.Standing != dispatch.Ready || now.Start != chosen.Start || now.Zone != chosen.Zone || now.Cell != chosen.Cell {
-				return nil, conn.Withheld
-			}
-			// Nor does a repeat leave whose window has passed meanwhile: the time to connect may have grown with new settings,
-			// and a process that stood still hears late of all that came up.
-			left := (inv.GivenUp - f.loop.Now()).Seconds()
-			if left < leastTold || until > 0 && f.loop.Now() >= until || !f.Waits(inv.Inv) {
-				return nil, conn.Unsent
-			}
+		request: func() conn.Outgoing {
+			left := (inv.GivenUp - f.loop.Clock()).Seconds()
+			return conn.Outgoing{Until: earlier(inv.GivenUp, until), Allowed: func() conn.Ending { return f.allowed(o, chosen, until) },
+				Bytes: http1.Request(inv.Method, inv.Target, w.endpoint, inv.Body, append(slices.Clip(inv.Fields),
+					http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...)}
+		},
+		begun: func() {
 			o.written, o.repeats = true, slices.Contains(inv.had, w)
 			inv.had = append(inv.had, w)
-			return http1.Request(inv.Method, inv.Target, w.endpoint, inv.Body,
-				append(slices.Clip(inv.Fields), http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...), conn.Open
 		},
 		done: func(m *http1.Message, e conn.Ending) {
 			o.ask = nil
@@ -201,6 +201,39 @@
 	f.ask(w, o.ask)
 }
 
+// allowed is the last check of a forward, directly before its first byte is written: the connection may have taken its time to
+// come up, and this process to run.
+func (f *Fleet) allowed(o *forward, chosen dispatch.Entry, until time.Duration) conn.Ending {
+	now := o.worker.entry
+	switch {
+	case now.Standing != dispatch.Ready || now.Start != chosen.Start || now.Zone != chosen.Zone || now.Cell != chosen.Cell:
+		return f.stopped(stoppedWorker, conn.Withheld)
+	case !f.Waits(o.inv.Inv):
+		// Where the settings allow no cancel nothing else tells of a client that has left or has its answer.
+		return f.stopped(stoppedClient, conn.Unsent)
+	}
+	switch at := f.loop.Clock(); {
+	case o.inv.GivenUp-at < leastTold:
+		return f.stopped(stoppedTimeout, conn.Unsent)
+	case until > 0 && at >= until:
+		return f.stopped(stoppedWindow, conn.Unsent)
+	}
+	return conn.Open
+}
+
+func (f *Fleet) stopped(why string, e conn.Ending) conn.Ending {
+	f.Counts.Stopped[why]++
+	return e
+}
+
+// earlier is the earlier of two times, of which the second may be none.
+func earlier(a, b time.Duration) time.Duration {
+	if b > 0 {
+		return min(a, b)
+	}
+	return a
+}
+
 // answered tells what an answer other than 202 to a forward, or any to a probe, amounts to.
 func answered(m *http1.Message) conn.Ending {
 	switch {
@@ -263,8 +296,9 @@
 		Load: load, Closed: !f.Owed(o.inv.Inv)})
 }
 
-func always(request []byte) func() ([]byte, conn.Ending) {
-	return func() ([]byte, conn.Ending) { return request, conn.Open }
+// always is a request that may go out whenever it can.
+func always(request []byte) func() conn.Outgoing {
+	return func() conn.Outgoing { return conn.Outgoing{Bytes: request} }
 }
 
 func (f *Fleet) cancel(o *forward) {
