Deduplicated work is guarded against words on earlier attempts too

Cause: a repeated 'returned' and a stray answer can be taken for a later attempt's. Fleet.end and Fleet.ask guarded non-idempotent work alone; for deduplicated work the attempt that ran was then forgotten, and with it the group and the window of repeats. Change: an invocation carries its effect class, and needsProof covers all but idempotent work. Result: Example_strayAnswer and Example_givenBackTwice, now for each class, fail with the guard as it was (tried).

--- a/cmd/stoatweir/crossings_test.go
+++ b/cmd/stoatweir/crossings_test.go
@@ -258,13 +258,13 @@
 		for n, name := range []string{"render", "keyed", "sale"} {
 			j := &workers.Invocation{Inv: inv + dispatch.InvID(n)}
 			s.door.Took(j, s.site.Current[name])
-			fmt.Println(name, j.Once)
+			fmt.Println(name, j.Effect == dispatch.NonIdempotent)
 		}
 	}
 	come(1)
 	newer{s, read(strings.NewReplacer("read_like", "non_idempotent", "non_idempotent", "read_like").Replace(text)), nil}.Take()
 	come(10)
-	fmt.Println("in hand before:", s.invs[1].Once, s.invs[3].Once)
+	fmt.Println("in hand before:", s.invs[1].Effect == dispatch.NonIdempotent, s.invs[3].Effect == dispatch.NonIdempotent)
 	// Output:
 	// render false
 	// keyed false
--- a/cmd/stoatweir/pass.go
+++ b/cmd/stoatweir/pass.go
@@ -194,7 +194,7 @@
 			return false
 		}
 		j = &workers.Invocation{ID: l.ID, Method: l.Method, Target: l.Target, Fields: l.Fields, Body: m.Body,
-			GivenUp: s.loop.Now() + l.Left, Once: s.once(operation)}
+			GivenUp: s.loop.Now() + l.Left, Effect: s.effect(operation)}
 	}
 	inv, kept := s.door.Inherit(nc, clients.Parcel{Read: m.Pass.Read, News: m.Pass.News, Fresh: m.Pass.Fresh}, j, operation,
 		l.Record.Age)
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -114,7 +114,7 @@
 	s.askWithin()
 	s.door.Event, s.fleet.Event = event, event
 	s.door.Took = func(j *workers.Invocation, operation int) {
-		j.Once = s.once(operation)
+		j.Effect = s.effect(operation)
 		s.invs[j.Inv] = &tracked{Invocation: j, operation: operation, seat: s.hosting.came(j.ID)}
 	}
 	s.door.News, s.door.Report = s.fleet.Take, s.report
@@ -135,9 +135,9 @@
 	return s, nil
 }
 
-// once tells whether an operation's work must never run twice.
-func (s *service) once(operation int) bool {
-	return s.site.Deployment.Operations[operation].Effect == dispatch.NonIdempotent
+// effect is an operation's effect class.
+func (s *service) effect(operation int) dispatch.Effect {
+	return s.site.Deployment.Operations[operation].Effect
 }
 
 // onSockets adds what holds on sockets, whatever the settings say.
--- a/internal/workers/crossings_test.go
+++ b/internal/workers/crossings_test.go
@@ -70,27 +70,29 @@
 	// inv 2 forward 0: taken=true started=false done=0
 }
 
-// A second answer to one request, some milliseconds late, is none to the next: non-idempotent work that it would set free
-// to be sent again goes over a connection that has rested.
+// A second answer to one request, some milliseconds late, is none to the next: work that it would set free to be sent again, or
+// outside the group and the window of its first attempt, goes over a connection that has rested.
 func Example_strayAnswer() {
-	s := perform(took, "", took)
-	s.Forward(s.job(1), 0, s.id)
-	s.until(1, 1)
-	j := s.job(2)
-	j.Once = true
-	s.Forward(j, 0, s.id)
-	s.until(0, 1)
-	s.say(1, turns)
-	s.settle("the end of the connection that strays", func() bool { return len(s.byUID["s-1"].idle) == 0 })
-	s.until(0, 1)
-	s.say(2, took)
-	s.until(1, 0)
-	// Rested, it is used again.
-	s.byUID["s-1"].idle[0].parked -= strayMost
-	j = s.job(3)
-	j.Once = true
-	s.Forward(j, 0, s.id)
-	s.until(1, 1)
+	for _, effect := range []dispatch.Effect{dispatch.Deduplicated, dispatch.NonIdempotent} {
+		s := perform(took, "", took)
+		s.Forward(s.job(1), 0, s.id)
+		s.until(1, 1)
+		j := s.job(2)
+		j.Effect = effect
+		s.Forward(j, 0, s.id)
+		s.until(0, 1)
+		s.say(1, turns)
+		s.settle("the end of the connection that strays", func() bool { return len(s.byUID["s-1"].idle) == 0 })
+		s.until(0, 1)
+		s.say(2, took)
+		s.until(1, 0)
+		// Rested, it is used again.
+		s.byUID["s-1"].idle[0].parked -= strayMost
+		j = s.job(3)
+		j.Effect = effect
+		s.Forward(j, 0, s.id)
+		s.until(1, 1)
+	}
 	// Output:
 	// connection 1: POST /render/7f HTTP/1.1 id1 body
 	// inv 1 forward 0: taken=true started=false done=0
@@ -99,6 +101,13 @@
 	// inv 2 forward 0: taken=true started=false done=0
 	// connection 2: POST /render/7f HTTP/1.1 id3 body
 	// inv 3 forward 0: taken=true started=false done=0
+	// connection 1: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 0: taken=true started=false done=0
+	// connection 2: POST /render/7f HTTP/1.1 id2 body
+	// connection 1 ends
+	// inv 2 forward 0: taken=true started=false done=0
+	// connection 2: POST /render/7f HTTP/1.1 id3 body
+	// inv 3 forward 0: taken=true started=false done=0
 }
 
 // What its worker has begun has run, whatever the worker or the connection says later.
@@ -347,12 +356,12 @@
 }
 
 // A worker that has given work back, has got it again and says once more that it gives it back may mean the first time. What
-// must never run twice is not free to go on then.
+// must never run twice is not free to go on then, and what workers drop repeats of keeps its group and window.
 func Example_givenBackTwice() {
-	for _, once := range []bool{false, true} {
+	for _, effect := range []dispatch.Effect{dispatch.Idempotent, dispatch.Deduplicated, dispatch.NonIdempotent} {
 		s := perform(took, took)
 		j := s.job(1)
-		j.Once = once
+		j.Effect = effect
 		for fwd := range 2 {
 			s.Forward(j, fwd, s.id)
 			s.until(1, 1)
@@ -374,6 +383,12 @@
 	// connection 1: POST /render/7f HTTP/1.1 id1 body
 	// inv 1 forward 1: taken=true started=false done=0
 	// inv 1 forward 1 ends: 5 closed=false load=false
+	// connection 1: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 0: taken=true started=false done=0
+	// inv 1 forward 0 ends: 2 closed=false load=false
+	// connection 1: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 forward 1: taken=true started=false done=0
+	// inv 1 forward 1 ends: 5 closed=false load=false
 }
 
 // An answer that breaks off, in its head, body, a chunk or between chunks, is no word on the request, which may have run; one
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -41,12 +41,17 @@
 	Fields             []http1.Field // go on unchanged
 	Body               []byte
 	GivenUp            time.Duration // when its client stops waiting
-	Once               bool          // it must never run twice
-	Hint               float64       // what it says of its work, in seconds; 0: nothing
+	Effect             dispatch.Effect
+	Hint               float64 // what it says of its work, in seconds; 0: nothing
 
 	had []*worker // to which it has been written
 }
 
+// needsProof tells whether it goes on only by what is known of the attempts before: a word that one of them never ran must be about that
+// very attempt. Taken for an earlier one's, it would let non-idempotent work run twice, and begin the group and the window of deduplicated
+// work anew.
+func (j *Invocation) needsProof() bool { return j.Effect != dispatch.Idempotent }
+
 // News is what a worker calls back about a forward.
 type News struct {
 	ID, From, State string
@@ -171,7 +176,7 @@
 	o.deadline = f.loop.After(inv.GivenUp-f.loop.Now(), func() { f.end(o, conn.Expired, nil) })
 	o.ask = &ask{
 		wrote: f.Wrote,
-		alone: inv.Once,
+		alone: inv.needsProof(),
 		request: func() conn.Outgoing {
 			left := (inv.GivenUp - f.loop.Clock()).Seconds()
 			return conn.Outgoing{Until: earlier(inv.GivenUp, until), Allowed: func() conn.Ending { return f.allowed(o, chosen, until) },
@@ -277,7 +282,7 @@
 	delete(f.byNumber, key)
 	delete(f.byName, name{o.inv.ID, o.worker.uid})
 	o.deadline.Stop()
-	if o.began && e.NeverRan() || e == conn.HandedBack && o.repeats && o.inv.Once {
+	if o.began && e.NeverRan() || e == conn.HandedBack && o.repeats && o.inv.needsProof() {
 		e = conn.Lost // whatever says so now, its worker had begun it; or it says so of an earlier forward
 	}
 	switch a := o.ask; {
