Bytes that are being read from a kept connection are seen at each moment

Cause: the reading goroutine took bytes out of the system's hands and marked them (Conn.arrived) some instructions later. Between the two, Readable saw them in neither place, a request was written behind a stray answer and took it for its own: a stray X-Rejected says then that work never ran which runs. Change: the system call and the mark share a lock (arrivals), which Readable takes too.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -8,7 +8,6 @@
 	"os"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -67,9 +66,9 @@
 	first            []byte // is being read into, as long as there is no ring
 	toRead           chan []byte
 	toWrite          chan outRun
-	writeUntil       time.Time   // bounds what is queued; zero: nothing does
-	reading, writing bool        // a run of bytes is with the goroutine
-	arrived          atomic.Bool // something has been read, or the end, and waits in the inbox
+	writeUntil       time.Time // bounds what is queued; zero: nothing does
+	reading, writing bool      // a run of bytes is with the goroutine
+	arrived          arrivals
 	up, ended, quits bool
 	ignores          bool   // what still comes is thrown away
 	deaf             bool   // nothing more is read
@@ -131,10 +130,10 @@
 			n, err := 0, error(nil)
 			if b == nil {
 				err = c.swallow()
+				c.arrived.mark()
 			} else {
-				n, err = c.net.Read(b)
+				n, err = c.receive(b)
 			}
-			c.arrived.Store(true)
 			c.loop.Put(note{Conn: c, n: n, err: err, what: read})
 		}
 	}()
@@ -152,21 +151,6 @@
 	}()
 }
 
-// swallow reads until the connection ends, by its peer or by us.
-func (c *Conn) swallow() error {
-	b := gulps.Get().(*[gulp]byte)
-	defer gulps.Put(b)
-	for reads, bytes := 1, 0; ; reads++ {
-		n, err := c.net.Read(b[:])
-		if err != nil {
-			return err
-		}
-		if bytes += n; reads > briskReads || bytes > briskBytes {
-			time.Sleep(c.share.rest)
-		}
-	}
-}
-
 // Take reads what a goroutine has left.
 func (n note) Take() {
 	c := n.Conn
@@ -176,7 +160,7 @@
 		return
 	case read:
 		c.reading = false
-		c.arrived.Store(false)
+		c.arrived.met()
 		if c.detached != nil && errors.Is(n.err, os.ErrDeadlineExceeded) {
 			n.err = nil // that is what ended the read
 		}
@@ -312,12 +296,11 @@
 }
 
 // Readable tells whether something has come that its owner has not met yet, an end among it.
-func (c *Conn) Readable() (is bool) {
-	if c.ended || c.arrived.Load() {
-		return true
-	}
-	peek(c.net, func(_, _ int, err error) { is = !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) })
-	return is
+func (c *Conn) Readable() bool {
+	return c.ended || c.arrived.any(func() (is bool) {
+		peek(c.net, func(_, _ int, err error) { is = !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR) })
+		return is
+	})
 }
 
 // peek looks at what the system holds of a connection.
