--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -273,6 +273,15 @@
 	}
 }
 
+// Break ends the connection at once. Unlike after Close its owner is told, once it is certain how much has been written.
+func (c *Conn) Break() {
+	if c.ended || !c.up {
+		return
+	}
+	c.end(Closed)
+	c.settle()
+}
+
 // Ignore throws away whatever still comes, so that its end is seen however much that is.
 func (c *Conn) Ignore() {
 	c.ignores = true
--- a/internal/workers/line.go
+++ b/internal/workers/line.go
@@ -261,6 +261,9 @@
 		case m.Close || c.In.Len() > 0:
 			l.finish(m, conn.Open)
 			c.Close()
+		case c.Unsent() > 0 && l.ask.alone:
+			// It proves nothing of a request that is still on its way, as its last byte may come behind it. That never goes out now.
+			c.Break()
 		case c.Unsent() > 0:
 			// The answer has overtaken the word that the request has gone out, which is waited for before the
 			// connection is used again; or the worker has answered without reading on.
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -287,8 +287,10 @@
 	}
 	switch a := o.ask; {
 	case a == nil:
-	case e == conn.CalledOff || e == conn.Expired || !o.written:
-		a.drop() // before the 202 a forward is given up by closing the connection; one that comes up must not send it any more
+	case e == conn.CalledOff || e == conn.Expired || !o.written || a.line.c.Unsent() > 0:
+		// Before the 202 a forward is given up by closing the connection. One that comes up must not send it any more, and the last
+		// byte of one that has ended must not go out.
+		a.drop()
 	default: // news came before the 202, which may still follow
 		a.done = func(*http1.Message, conn.Ending) {}
 		a.limit = f.loop.After(afterNews, a.drop)
