A hand-over carries the zone and cell where an attempt was sent

Cause: desk.resume read zone and cell of an attempt from the list as it stood at the hand-over, so that a worker that had moved meanwhile took the group of repeats with it. Change: dispatch.Try has both, the zone travels by its name. Result: Example_resumedAfterItsWorkerMoved sends to the wrong zone without it (tried); replacement and pair tests pass.

--- a/cmd/stoatweir/pass.go
+++ b/cmd/stoatweir/pass.go
@@ -34,7 +34,7 @@
 	Operation          dispatch.Operation
 	Timeout            time.Duration
 	Record             dispatch.Resumed
-	Workers            []string // of its tries
+	Workers, Zones     []string // of its tries
 }
 
 // parcel is on its way.
@@ -101,8 +101,9 @@
 	if r.Tenant < len(s.site.Tenants) {
 		l.Tenant = s.site.Tenants[r.Tenant]
 	}
+	zones := s.list.Zones()
 	for _, t := range r.Tries {
-		l.Workers = append(l.Workers, s.fleet.UID(t.Worker))
+		l.Workers, l.Zones = append(l.Workers, s.fleet.UID(t.Worker)), append(l.Zones, zones[t.Zone])
 	}
 	return l
 }
@@ -224,13 +225,14 @@
 func (s *service) heir(l *legacy) (operation int, known bool) {
 	operation, known = s.site.Current[l.Name]
 	if !known || s.site.Deployment.Operations[operation] != l.Operation || s.site.Timeouts[operation] != l.Timeout ||
-		len(l.Workers) != len(l.Record.Tries) {
+		len(l.Workers) != len(l.Record.Tries) || len(l.Zones) != len(l.Record.Tries) {
 		return 0, false
 	}
 	for n, uid := range l.Workers {
 		if l.Record.Tries[n].Worker, known = s.fleet.ID(uid); !known {
 			return 0, false
 		}
+		l.Record.Tries[n].Zone = s.list.Zone(l.Zones[n])
 	}
 	if s.hosting != nil {
 		l.Record.Tenant, known = s.hosting.heir(l.ID)
--- a/dispatch/held_test.go
+++ b/dispatch/held_test.go
@@ -122,6 +122,19 @@
 	// room: nothing
 }
 
+// An invocation is taken over when the worker of its first attempt has moved to another zone: what drops its repeats has not.
+func Example_resumedAfterItsWorkerMoved() {
+	p := start(bounded(ScopeZone), ready('a', 1), ready('b', 0), ready('c', 1))
+	p.quiet, p.waits = true, true
+	p.at(10*ms, free('b', 9), free('c', 9))
+	p.at(20*ms, Resumed{Arrival: job(1, 1, 0.2), Waited: 100 * ms, Age: 100 * ms,
+		Tries: []Try{{Worker: id('a'), Zone: 0, Age: 100 * ms, Began: -1, Heard: -1, Ran: true}}})
+	p.until(200 * ms)
+	p.tell("resumed")
+	// Output:
+	// resumed: 1 to b
+}
+
 // A repeat carries the time by which it has to leave; what nothing bounds carries none.
 func Example_until() {
 	p := start(bounded(ScopeAll), ready('a', 0), ready('b', 0), ready('c', 0))
--- a/dispatch/resume.go
+++ b/dispatch/resume.go
@@ -22,6 +22,7 @@
 // Try is one forward of an invocation.
 type Try struct {
 	Worker            WorkerID
+	Zone, Cell        int           // where the worker was when it was sent
 	Age, Began, Heard time.Duration // since it was sent, began and was last heard of; below 0: it has not, it was not
 	Cost              float64
 	Out, Ran          bool
@@ -50,7 +51,7 @@
 	r = Resumed{Arrival: Arrival{Inv: id, Operation: j.op, Tenant: j.tenant, Budget: j.givenUp - d.now, Hint: j.work,
 		Slots: j.slots}, Waited: ago(j.first), Age: ago(j.came)}
 	for f, t := range j.tries {
-		try := Try{Worker: d.list[t.at].Worker, Age: ago(t.sent), Began: -1, Heard: -1, Out: t.out, Ran: t.ran, Stuck: t.stuck,
+		try := Try{Worker: d.list[t.at].Worker, Zone: t.zone, Cell: t.cell, Age: ago(t.sent), Began: -1, Heard: -1, Out: t.out, Ran: t.ran, Stuck: t.stuck,
 			Unfit: t.unfit}
 		if w := d.list[t.at].worker; w != nil {
 			if e := w.find(i, f); e != nil {
@@ -119,8 +120,7 @@
 		if !known {
 			continue
 		}
-		p := &k.door.list[at]
-		j.tries = append(j.tries, tried{at: at, zone: p.Zone, cell: p.Cell, sent: k.now - t.Age, out: t.Out, ran: t.Ran,
+		j.tries = append(j.tries, tried{at: at, zone: t.Zone, cell: t.Cell, sent: k.now - t.Age, out: t.Out, ran: t.Ran,
 			stuck: t.Stuck, unfit: t.Unfit})
 		if t.Unfit {
 			j.unfit++
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -111,9 +111,14 @@
 func (w *Watcher) Kind(name string) int { return w.kinds.at(name) }
 
 // Kinds lists the names by index.
-func (w *Watcher) Kinds() []string {
-	list := make([]string, len(w.kinds))
-	for name, at := range w.kinds {
+func (w *Watcher) Kinds() []string { return w.kinds.list() }
+
+// Zones lists the names by index.
+func (w *Watcher) Zones() []string { return w.zones.list() }
+
+func (n names) list() []string {
+	list := make([]string, len(n))
+	for name, at := range n {
 		list[at] = name
 	}
 	return list
