--- a/cmd/stoatweir/transcript_test.go
+++ b/cmd/stoatweir/transcript_test.go
@@ -86,6 +86,7 @@
 type exchangeScript struct {
 	workers         []string // name/zone
 	window, timeout time.Duration
+	schedulers      int // that there are, by the settings; 0: one
 	dials           map[int][]string
 	requests        map[int][]string
 	events          []scheduledStep
@@ -187,21 +188,35 @@
 // play plays the case for one effect class.
 func (e *exchangeScript) play(t *testing.T, effect string) string {
 	r := &transcript{began: time.Now().Add(settled)}
-	world := newScriptedWorld(e, r)
+	s, world, stop := e.start(t, effect, r)
+	time.Sleep(settled)
+	world.begin()
+	time.Sleep(e.timeout + 2*time.Second)
+	text := r.String()
+	stop()
+	ended, stopped := s.fleet.Counts.Ended, s.fleet.Counts.Stopped
+	if len(stopped) > 0 {
+		text += fmt.Sprintf("        stopped before the first byte: %v\n", stopped)
+	}
+	return text + fmt.Sprintf("        ended: %v\n", ended)
+}
+
+// start starts a scheduler among the workers and the discovery of the case.
+func (e *exchangeScript) start(t *testing.T, effect string, r *transcript) (s *service, world *scriptedWorld, stop func()) {
+	world = newScriptedWorld(e, r)
 	node, err := settings.ParseNode(fmt.Appendf(nil, `{"name":"n","listen":%q,"discovery":%q,"seed":"5","known":%s,
-		"settings":{"Discovery":"ask","PeersTotal":1,"Dcs":["a","b"],"FamilyInfo":{"TellsStart":true},"Report":{"How":"none"},
+		"settings":{"Discovery":"ask","PeersTotal":%d,"Dcs":["a","b"],"FamilyInfo":{"TellsStart":true},"Report":{"How":"none"},
 		"Rules":{"AskWithin":10,"StopSendingWithin":0.5},
 		"Limits":{"Cancel":true,"SecondCopies":true,"RetryAfter":true,"MaxRetryAfter":1,"MostForwards":3,"ConnectTimeout":0.25,"ConnIdle":5},
 		"Operations":[{"Name":"render","Effect":%q,"LatencyObjective":10,"ClientTimeout":10,"DedupScope":"zone","DedupWindow":%g}]}}`,
-		schedulerAddr, discoveryAddr, world.list(), effect, e.window.Seconds()), func(string) string { return "" })
+		schedulerAddr, discoveryAddr, world.list(), max(1, e.schedulers), effect, e.window.Seconds()), func(string) string { return "" })
 	if err != nil {
 		t.Fatal(err)
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	log.AddHook(schedulerLog{r})
-	s, err := newService(node, logrus.NewEntry(log))
-	if err != nil {
+	if s, err = newService(node, logrus.NewEntry(log)); err != nil {
 		t.Fatal(err)
 	}
 	s.loop.DialContext = world.DialContext
@@ -211,19 +226,12 @@
 		s.run(address{listener: world.door})
 		close(over)
 	}()
-	time.Sleep(settled)
-	world.begin()
-	time.Sleep(e.timeout + 2*time.Second)
-	text := r.String()
-	world.end()
-	time.Sleep(3 * time.Second) // all connections end
-	s.loop.Order(order{s, s.loop.Stop})
-	<-over
-	ended, stopped := s.fleet.Counts.Ended, s.fleet.Counts.Stopped
-	if len(stopped) > 0 {
-		text += fmt.Sprintf("        stopped before the first byte: %v\n", stopped)
+	return s, world, func() {
+		world.end()
+		time.Sleep(3 * time.Second) // all connections end
+		s.loop.Order(order{s, s.loop.Stop})
+		<-over
 	}
-	return text + fmt.Sprintf("        ended: %v\n", ended)
 }
 
 // client hands in one request and waits for its answer.
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -19,7 +19,7 @@
 
 // What one machine is asked to carry: real processes and sockets.
 const (
-	mostSchedulers, mostWorkers = 16, 200
+	mostSchedulers, mostWorkers = 1024, 1024
 	mostLength                  = 10 * time.Minute
 	readyWithin                 = 10 * time.Second
 	stopWithin                  = 6 * time.Second
--- a/internal/lab/scale/limits.go
+++ b/internal/lab/scale/limits.go
@@ -49,7 +49,7 @@
 }
 
 const (
-	mostProcesses = 300
+	mostProcesses = 2048
 	otherFiles    = 64
 	perConnection = 24 << 10 // bytes of a hollow process: buffers and the stacks of its goroutines
 	perListener   = 12 << 10
--- a/internal/lab/scale/scenario.go
+++ b/internal/lab/scale/scenario.go
@@ -122,7 +122,7 @@
 }
 
 const (
-	mostWorkers, mostSchedulers, mostTold = 8000, 60, 300
+	mostWorkers, mostSchedulers, mostTold = 8000, 1024, 1 << 16
 	mostInHand, mostStarts, mostChanges   = 8000, 2000, 1000
 	mostLength                            = 10 * time.Minute
 )
--- a/internal/peers/capacity_test.go
+++ b/internal/peers/capacity_test.go
@@ -26,7 +26,7 @@
 					addrs = append(addrs, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+n)))
 				}
 				loop := conn.NewLoop(time.Now())
-				r := &Road{loop: loop, addrs: addrs, epoch: 1, senders: map[int]sender{}, out: make(chan datagram, queued)}
+				r := newRoad(loop, addrs, 0, 1)
 				other := &Road{loop: loop, addrs: addrs, me: schedulers - 1, epoch: 1, senders: map[int]sender{}}
 				notes, who, size := []dispatch.Note{{Kind: dispatch.NoteSent, Serial: 7, Tag: 99}}, schedulers-1, 0
 				if to == "all" {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -17,9 +17,9 @@
 	version = 1
 	// A datagram begins with the version, its sender's number, when that one started and a count.
 	header = 1 + 2 + 8 + 4
-	// queued is how many datagrams may wait to go out, and to come in, at the most; more are dropped, as old news of
-	// forwards is worth nothing.
-	queued = 256
+	// So many datagrams may wait to go out, and to come in, for each scheduler; more are dropped, as old news of forwards is
+	// worth nothing. One told to all of them, and one from each of them, always fit.
+	queuedEach, queuedLeast = 4, 256
 	// Another process may still hold the address after a restart: without it nothing is told, and the rest goes on.
 	bindAgain = time.Second
 )
@@ -46,6 +46,7 @@
 	count   uint32
 	senders map[int]sender
 	out     chan datagram
+	queued  int          // datagrams that may wait, each way
 	waiting atomic.Int32 // notes in the loop's inbox
 	quit    chan struct{}
 }
@@ -64,12 +65,18 @@
 
 // Open begins to listen at our own address and goes on trying where that is taken. started tells our starts apart.
 func Open(loop *conn.Loop, addrs []netip.AddrPort, me int, started time.Time, failed func(error)) *Road {
-	r := &Road{loop: loop, addrs: addrs, me: me, epoch: uint64(started.UnixNano()), senders: map[int]sender{},
-		out: make(chan datagram, queued), quit: make(chan struct{})}
+	r := newRoad(loop, addrs, me, uint64(started.UnixNano()))
 	go r.run(failed)
 	return r
 }
 
+// newRoad has room by the number of schedulers, and does not run yet.
+func newRoad(loop *conn.Loop, addrs []netip.AddrPort, me int, epoch uint64) *Road {
+	queued := max(queuedLeast, queuedEach*len(addrs))
+	return &Road{loop: loop, addrs: addrs, me: me, epoch: epoch, senders: map[int]sender{}, queued: queued,
+		out: make(chan datagram, queued), quit: make(chan struct{})}
+}
+
 // Close ends it.
 func (r *Road) Close() {
 	if r != nil {
@@ -123,7 +130,7 @@
 		if err != nil {
 			continue // an answer that nobody is there at some address
 		}
-		if r.waiting.Load() >= queued {
+		if int(r.waiting.Load()) >= r.queued {
 			r.Counts.Crowded.Add(1)
 			continue
 		}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -168,11 +168,11 @@
 	case <-time.After(5 * time.Second):
 		t.Fatal("no word that the address is taken")
 	}
-	for range 3 * queued {
+	for range 3 * r.queued {
 		r.Send(1, []dispatch.Note{word})
 	}
-	if n := r.Counts.Unsent.Load(); n != 2*queued {
-		t.Fatal(n, " dropped where ", queued, " may wait")
+	if n := r.Counts.Unsent.Load(); n != uint64(2*r.queued) {
+		t.Fatal(n, " dropped where ", r.queued, " may wait")
 	}
 	holder.Close()
 	other.SetReadDeadline(time.Now().Add(10 * time.Second))
@@ -180,3 +180,17 @@
 		t.Fatal(err)
 	}
 }
+
+// A message to all of 1,024 schedulers goes out whole, and one from each of them comes in, also while nobody empties the queues.
+func TestManySchedulers(t *testing.T) {
+	const schedulers = 1024
+	var addrs []netip.AddrPort
+	for n := range schedulers {
+		addrs = append(addrs, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(20000+n)))
+	}
+	r := newRoad(conn.NewLoop(time.Now()), addrs, 0, 1)
+	r.Send(-1, []dispatch.Note{{Kind: dispatch.NoteAnew}})
+	if len(r.out) != schedulers-1 || r.Counts.Unsent.Load() != 0 || r.queued < schedulers {
+		t.Error("out:", len(r.out), "unsent:", r.Counts.Unsent.Load(), "room:", r.queued)
+	}
+}
