--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 lint:
 	@test -z "$$(gofmt -l dispatch internal cmd)" || { gofmt -l dispatch internal cmd; exit 1; }
 	go vet $(PACKAGES)
+	go tool staticcheck $(PACKAGES)
 
 run: build
 	PROXY_CONFIG=$(CONFIG) exec bin/stoatweir
--- a/cmd/stoatweir/hosting_test.go
+++ b/cmd/stoatweir/hosting_test.go
@@ -90,11 +90,10 @@
 
 // tally is what one tenant's clients saw.
 type tally struct {
-	mu             sync.Mutex
-	asked, inTime  int
-	statuses       map[int]int
-	troubles       []string
-	lastThrottling string
+	mu            sync.Mutex
+	asked, inTime int
+	statuses      map[int]int
+	troubles      []string
 }
 
 // load sends invocations at a rate whatever comes back, each with so many tries at once after a refusal, over kept connections.
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -10,25 +10,25 @@
 // world plays one scheduler against workers, clients and other schedulers that a seed draws: whatever the interface can
 // bring comes in it. It uses the interface alone, so that any inner form of the module can be played.
 type world struct {
-	rng      *rand.Rand
-	dep      Deployment
-	seed     int64
-	d        *Dispatcher
-	now, end time.Duration
-	queue    pending
-	serial   int
-	workers  []*actor
-	at       map[WorkerID]*actor
-	invs     map[InvID]*client
-	last     InvID
-	due      time.Duration
-	seen     func(now time.Duration, a Action)
-	handled  func(events int, took func())
-	rate     float64 // arrivals a second
-	hint     float64 // their mean
-	trouble  float64 // 1: everything that may happen does
-	share    float64 // of the workers' slots that others have
-	names    int
+	rng     *rand.Rand
+	dep     Deployment
+	seed    int64
+	d       *Dispatcher
+	now     time.Duration
+	queue   pending
+	serial  int
+	workers []*actor
+	at      map[WorkerID]*actor
+	invs    map[InvID]*client
+	last    InvID
+	due     time.Duration
+	seen    func(now time.Duration, a Action)
+	handled func(events int, took func())
+	rate    float64 // arrivals a second
+	hint    float64 // their mean
+	trouble float64 // 1: everything that may happen does
+	share   float64 // of the workers' slots that others have
+	names   int
 }
 
 type actor struct {
@@ -50,7 +50,6 @@
 
 type attempt struct {
 	w       *actor
-	start   uint64
 	out     bool
 	work    float64
 	entered bool
--- a/internal/lab/loopback/node.go
+++ b/internal/lab/loopback/node.go
@@ -182,7 +182,6 @@
 	index, _ := strconv.Atoi(in.URL.Query().Get("index"))
 	type answer struct {
 		wait  time.Duration
-		first []byte
 		lines chan []byte
 	}
 	got := make(chan *answer, 1)
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -25,14 +25,13 @@
 	began   time.Time
 	workers []*worker
 
-	mu       sync.Mutex // of all below, and of the workers' entries
-	entries  []*worker  // as listed
-	rev      int
-	log      []change // what has changed, by version
-	watches  map[chan []byte]bool
-	replaced int
-	spare    []*worker
-	serial   int
+	mu      sync.Mutex // of all below, and of the workers' entries
+	entries []*worker  // as listed
+	rev     int
+	log     []change // what has changed, by version
+	watches map[chan []byte]bool
+	spare   []*worker
+	serial  int
 
 	jobs    sync.Map // by id, *job
 	calls   tally
--- a/internal/lab/scale/rig.go
+++ b/internal/lab/scale/rig.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"time"
 )
 
@@ -369,12 +368,3 @@
 	}
 	return time.Duration(c.Turns.Lately) * time.Microsecond
 }
-
-// version is what a program says it is built from, for the record.
-func version(program string) string {
-	info, err := os.Stat(program)
-	if err != nil {
-		return ""
-	}
-	return strings.TrimSpace(fmt.Sprintf("%s, %d bytes", filepath.Base(program), info.Size()))
-}
--- a/internal/lab/world/clients.go
+++ b/internal/lab/world/clients.go
@@ -19,7 +19,6 @@
 	most     float64 // the highest that the day has
 	at       time.Duration
 	next     int64
-	retry    int64
 	storm    int // further tries that clients make, at once
 	shares   []float64
 	tenants  []float64
