Connections and workers: files of one job each, nothing else changed

Declarations move as they are to send, receive, dial, detach, peek and share, and to attempt, exchange, pool, probe, news and handover. Result: the same lines before and after but for imports; tests of both packages pass.

--- a/internal/conn/receive.go
+++ b/internal/conn/receive.go
@@ -87,3 +87,31 @@
 		}
 	}
 }
+
+var gulps = sync.Pool{New: func() any { return new([gulp]byte) }}
+
+// firstly is what a connection's first bytes are read into: thousands may connect and say nothing, and the ring is for
+// those that do.
+const firstly = 256
+
+// Ignore throws away whatever still comes, so that its end is seen however much that is.
+func (c *Conn) Ignore() {
+	c.ignores = true
+	c.In.Drop(c.In.Len())
+}
+
+func (c *Conn) read() {
+	var b []byte // none: to be swallowed
+	switch {
+	case c.quits, c.ignores:
+	case c.In.Empty():
+		b = make([]byte, firstly)
+		c.first = b
+	default:
+		if b = c.In.Room(); len(b) == 0 {
+			return
+		}
+	}
+	c.reading = true
+	c.toRead <- b
+}
--- a/internal/conn/send.go
+++ b/internal/conn/send.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -122,3 +123,42 @@
 	}
 	return written, err
 }
+
+// writeWithin is how long a peer may take nothing of what is written to it. A slow reader that takes a little now and
+// then gets all of it: cutting an answer short would lose the invocation.
+var writeWithin = 20 * time.Second
+
+// writes begins the other way, with the first bytes that there are for it.
+func (c *Conn) writes() {
+	c.toWrite = make(chan outRun, 1)
+	go func() {
+		for run := range c.toWrite {
+			n, err := run.write(c.net)
+			c.loop.Put(note{Conn: c, n: n, err: err, what: wrote})
+		}
+	}()
+}
+
+// Write queues bytes; what the ring has no room for is kept by reference.
+func (c *Conn) Write(b []byte) {
+	if c.ended || c.quits {
+		return
+	}
+	if len(c.rest) == 0 {
+		c.rest = slices.Clip(b)
+	} else {
+		c.rest = append(c.rest, b...)
+	}
+	c.refill()
+	c.Resume()
+}
+
+func (c *Conn) refill() {
+	n := c.out.Write(c.rest)
+	if c.rest = c.rest[n:]; len(c.rest) == 0 {
+		c.rest = nil
+	}
+}
+
+// Unsent counts the bytes that have not gone out.
+func (c *Conn) Unsent() int { return c.out.Len() + len(c.rest) }
--- /dev/null
+++ b/internal/workers/probe.go
@@ -0,0 +1,76 @@
+package workers
+
+import (
+	"stoatweir/dispatch"
+	"stoatweir/internal/conn"
+	"stoatweir/internal/http1"
+)
+
+// answered tells what an answer other than 202 to a forward, or any to a probe, amounts to.
+func answered(m *http1.Message) conn.Ending {
+	switch {
+	case m.Status == 200:
+		return conn.Served
+	case (m.Status == 503 || m.Status == 504) && m.Header.Get("X-Rejected") == "1":
+		return conn.TurnedAway
+	case m.Status >= 400 && m.Status < 500:
+		return conn.Unfit
+	}
+	return conn.Faulted
+}
+
+func (f *Fleet) load(w *worker, m *http1.Message) *dispatch.Load {
+	if m == nil {
+		return nil
+	}
+	load := f.site.Report.Parse(m.Header.Get("X-Load-Report"))
+	if load == nil {
+		load = f.site.Report.Parse(string(m.Body))
+	}
+	return w.said(load, f.site.Report.Blank())
+}
+
+// said passes a report on. Until a worker has measured anything, its report is all noughts: taken at its word no slot
+// would be free there, and a scheduler that starts with the workers would hold everything until their first figures.
+func (w *worker) said(load *dispatch.Load, blank dispatch.Load) *dispatch.Load {
+	if load == nil || !w.reports && *load == blank {
+		return nil
+	}
+	w.reports = true
+	return load
+}
+
+// Probe asks a worker for its load.
+func (f *Fleet) Probe(id dispatch.WorkerID) {
+	w, asked := f.workers[id], f.loop.Now()
+	if w == nil {
+		f.Event(dispatch.Answer{Worker: id, Result: conn.Refused.Result()})
+		return
+	}
+	f.Counts.Probes++
+	path := "/-/healthy"
+	if len(f.site.Report.Names) > 0 {
+		path = "/-/load"
+	}
+	request := http1.Request("GET", path, w.endpoint, nil)
+	answer := func(e conn.Ending, load *dispatch.Load) {
+		f.Counts.Answered[e.String()]++
+		f.Event(dispatch.Answer{Worker: id, Result: e.Result(), Took: f.loop.Now() - asked, Load: load})
+	}
+	a := &ask{request: always(request)}
+	a.done = func(m *http1.Message, e conn.Ending) {
+		if m != nil {
+			e = answered(m)
+		}
+		answer(e, f.load(w, m))
+	}
+	if f.ask(w, a) {
+		a.limit = f.loop.After(probeWithin, func() {
+			// The others that are kept may be as dead: work that is sent on a new one that never comes up has
+			// provably not run, and is free to go elsewhere.
+			a.drop()
+			w.shutIdle()
+			answer(conn.Stalled, nil)
+		})
+	}
+}
