--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -340,7 +340,7 @@
 			if j.seat != nil {
 				j.sent = append(j.sent, s.loop.Now())
 			}
-			s.fleet.ForwardUntil(j.Invocation, j.forwards-1, a.Worker, a.Until)
+			s.fleet.Forward(j.Invocation, j.forwards-1, a.Worker, a.Until)
 		}
 	case dispatch.Throttled:
 		s.door.Throttle(a.Inv, a.After)
--- a/internal/clients/crossings_test.go
+++ b/internal/clients/crossings_test.go
@@ -189,7 +189,7 @@
 	}
 	c.Write([]byte(job))
 	until(l, "the job", func() bool { return d.InHand() == 1 })
-	f.Forward(j, 0, id)
+	f.Forward(j, 0, id, 0)
 	far, err := worker.Accept()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -178,7 +178,7 @@
 	if owner := c.owner; owner != nil {
 		c.owner = nil
 		if unsent {
-			c.ending = CutShort
+			c.ending = NotWritten
 		}
 		owner.Down(c, c.ending)
 	}
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -70,29 +70,29 @@
 
 // Only an ending that proves a non-run may let a non-idempotent invocation go out again.
 func Example_results() {
-	for e := Refused; e <= Unsent; e++ {
+	for e := Refused; e <= NotSent; e++ {
 		fmt.Println(e, e.Result())
 	}
 	// Output:
 	// refused 4
-	// never up 4
-	// crowded 2
-	// withheld 4
-	// cut short 4
+	// connect timeout 4
+	// no descriptor 2
+	// worker unavailable 4
+	// not written 4
 	// closed 8
 	// reset 5
 	// stale 9
 	// stalled 3
-	// garbage 1
-	// turned away 2
-	// handed back 2
-	// faulted 1
-	// unfit 8
+	// malformed 1
+	// rejected 2
+	// returned 2
+	// worker error 1
+	// bad request 8
 	// lost 5
-	// served 0
-	// expired 3
-	// called off 6
-	// unsent 7
+	// succeeded 0
+	// timed out 3
+	// cancelled 6
+	// not sent 7
 }
 
 // How a connection ends decides whether its request may have run: gone out whole or not.
@@ -121,9 +121,9 @@
 	shut()
 	// Output:
 	// closed after the whole request: [up closed] in use: 0
-	// no time to come up: [never up] in use: 0
+	// no time to come up: [connect timeout] in use: 0
 	// nobody listens: [refused] in use: 0
-	// reset with most of the request unread: [up cut short] in use: 0
+	// reset with most of the request unread: [up not written] in use: 0
 }
 
 // A long answer passes through the small ring whole, also when the connection is to end with it, and what the peer
@@ -190,7 +190,7 @@
 	o := &owner{}
 	s.Adopt(near, o).Write(want)
 	await(l, "the end", func() bool { return len(o.seen) > 0 })
-	if o.seen[0] != CutShort.String() {
+	if o.seen[0] != NotWritten.String() {
 		t.Errorf("one that takes nothing: %v", o.seen)
 	}
 }
--- a/internal/conn/send.go
+++ b/internal/conn/send.go
@@ -22,12 +22,12 @@
 
 // Send writes a message over a connection that has nothing queued. Open says that some of it has been written; any other ending is
 // why nothing was. What the socket does not take at once follows in the background. If that takes until m.Until, the connection
-// ends CutShort: the last byte is never written.
+// ends NotWritten: the last byte is never written.
 //
 // The permission is asked and the first bytes are written in one go, as a goroutine of its own may run late.
 func (c *Conn) Send(m Outgoing) Ending {
 	if c.ended || c.quits || c.Unsent() > 0 {
-		return CutShort
+		return NotWritten
 	}
 	if m.Allowed != nil {
 		if why := m.Allowed(); why != Open {
@@ -35,12 +35,12 @@
 		}
 	}
 	if m.Until > 0 && c.loop.Clock() >= m.Until {
-		return Unsent
+		return NotSent
 	}
 	written := 0
 	if raw, is := rawSocket(c.net); is {
 		if written = writeOnce(raw, m.Bytes); written == 0 {
-			return CutShort // it is broken, which its reader will see
+			return NotWritten // it is broken, which its reader will see
 		}
 	}
 	c.writeUntil = c.loop.wall(m.Until)
--- a/internal/conn/share.go
+++ b/internal/conn/share.go
@@ -128,7 +128,7 @@
 func (c *Conn) crowdedOut() {
 	owner := c.owner
 	if c.Close(); owner != nil {
-		owner.Down(c, Crowded)
+		owner.Down(c, NoDescriptor)
 	}
 }
 
--- a/internal/workers/crossings_test.go
+++ b/internal/workers/crossings_test.go
@@ -36,12 +36,12 @@
 // connection is kept.
 func Example_comingUpPastTheWindow() {
 	s := perform(took)
-	s.ForwardUntil(s.job(1), 1, s.id, time.Nanosecond)
+	s.Fleet.Forward(s.job(1), 1, s.id, time.Nanosecond)
 	s.until(1, 0)
 	fmt.Println("idle:", len(s.byUID["s-1"].idle), "heard:", len(s.heard))
-	s.ForwardUntil(s.job(1), 2, s.id, time.Nanosecond) // over the one that stands
+	s.Fleet.Forward(s.job(1), 2, s.id, time.Nanosecond) // over the one that stands
 	s.until(1, 0)
-	s.ForwardUntil(s.job(2), 1, s.id, s.loop.Now()+time.Hour)
+	s.Fleet.Forward(s.job(2), 1, s.id, s.loop.Now()+time.Hour)
 	s.until(1, 1)
 	// Output:
 	// inv 1 forward 1 ends: 7 closed=false load=false
@@ -146,21 +146,21 @@
 			near, far := net.Pipe() // takes nothing that is not read: the request can't go out
 			defer far.Close()
 			var ends []string
-			l := &line{fleet: s.Fleet, worker: s.byUID["s-1"], endpoint: s.byUID["s-1"].endpoint, parser: http1.Parser{Answers: true}}
-			l.ask = &ask{request: always([]byte("GET / HTTP/1.1\r\n\r\n")), done: func(m *http1.Message, e conn.Ending) {
+			c := &connection{fleet: s.Fleet, worker: s.byUID["s-1"], endpoint: s.byUID["s-1"].endpoint, parser: http1.Parser{Answers: true}}
+			c.exchange = &exchange{request: unbounded([]byte("GET / HTTP/1.1\r\n\r\n")), done: func(m *http1.Message, e conn.Ending) {
 				ends = append(ends, fmt.Sprint(m.Status, " ", e))
 			}}
-			l.c = s.share.Adopt(near, l)
-			l.send()
+			c.socket = s.share.Adopt(near, c)
+			c.send()
 			go func() { far.Write([]byte(turns)) }()
-			s.settle("the early answer", func() bool { return l.early != nil })
+			s.settle("the early answer", func() bool { return c.earlyAnswer != nil })
 			go then(far)
 			s.settle("the end", func() bool { return len(ends) > 0 })
 			over := false // an alarm that was left would ring by then
 			s.loop.After(2*earlyMost, func() { over = true })
 			s.settle("any alarm", func() bool { return over })
-			if got := strings.Join(ends, ", "); got != "503 open" || s.share.Used() != 0 || len(l.worker.idle) > 0 {
-				t.Error(got, "sockets:", s.share.Used(), "idle:", len(l.worker.idle))
+			if got := strings.Join(ends, ", "); got != "503 open" || s.share.Used() != 0 || len(c.worker.idle) > 0 {
+				t.Error(got, "sockets:", s.share.Used(), "idle:", len(c.worker.idle))
 			}
 		})
 	}
@@ -265,7 +265,7 @@
 	s := perform()
 	j := s.job(1)
 	s.Forward(j, 0, s.id)
-	request := s.byNumber[number{1, 0}].ask.request
+	request := s.byNumber[attemptKey{1, 0}].exchange.request
 	for _, late := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 0} { // the connection takes so long
 		j.GivenUp -= late
 		most := j.GivenUp - s.loop.Clock()
@@ -286,8 +286,8 @@
 	// Output:
 	// true 5s true
 	// true 3s true
-	// unsent
-	// unsent
+	// not sent
+	// not sent
 	// stopped: map[timeout:2]
 }
 
@@ -445,7 +445,7 @@
 			s.Forward(s.job(1), 0, s.id)
 			s.settle("the first", func() bool { return taken == 1 })
 			does(s) // and the loop does not run
-			kept := s.byUID["s-1"].idle[0].c
+			kept := s.byUID["s-1"].idle[0].socket
 			for end := time.Now().Add(5 * time.Second); !kept.Readable(); {
 				if time.Now().After(end) {
 					t.Fatal("nothing comes")
--- a/internal/workers/handover.go
+++ b/internal/workers/handover.go
@@ -8,7 +8,7 @@
 // Settled tells whether each forward of an invocation that is out has been taken by its worker: nothing of it is on its way.
 func (f *Fleet) Settled(inv dispatch.InvID, forwards int) bool {
 	for fwd := range forwards {
-		if o := f.byNumber[number{inv, fwd}]; o != nil && !o.taken {
+		if a := f.byNumber[attemptKey{inv, fwd}]; a != nil && !a.taken {
 			return false
 		}
 	}
@@ -18,10 +18,10 @@
 // Give takes the forwards of an invocation out of the books: another process has them from now on.
 func (f *Fleet) Give(inv dispatch.InvID, forwards int) {
 	for fwd := range forwards {
-		if o := f.byNumber[number{inv, fwd}]; o != nil {
-			delete(f.byNumber, number{inv, fwd})
-			delete(f.byName, name{o.inv.ID, o.worker.uid})
-			o.deadline.Stop()
+		if a := f.byNumber[attemptKey{inv, fwd}]; a != nil {
+			delete(f.byNumber, attemptKey{inv, fwd})
+			delete(f.byName, workKey{a.inv.ID, a.worker.uid})
+			a.deadline.Stop()
 		}
 	}
 }
@@ -29,9 +29,9 @@
 // Keep enters a forward that another process has sent and that its worker has taken.
 func (f *Fleet) Keep(inv *Invocation, fwd int, to dispatch.WorkerID) {
 	w := f.workers[to]
-	o := &forward{inv: inv, number: fwd, worker: w, written: true, taken: true}
-	f.byNumber[number{inv.Inv, fwd}], f.byName[name{inv.ID, w.uid}] = o, o
-	o.deadline = f.loop.After(inv.GivenUp-f.loop.Now(), func() { f.end(o, conn.Expired, nil) })
+	a := &attempt{inv: inv, number: fwd, worker: w, written: true, taken: true}
+	f.byNumber[attemptKey{inv.Inv, fwd}], f.byName[workKey{inv.ID, w.uid}] = a, a
+	a.deadline = f.loop.After(inv.GivenUp-f.loop.Now(), func() { f.end(a, conn.TimedOut, nil) })
 }
 
 // Had enters that a worker has had an invocation, by another process.
--- a/internal/workers/late_test.go
+++ b/internal/workers/late_test.go
@@ -56,7 +56,7 @@
 				j := s.job(2)
 				until := b.until(s, j)
 				time.Sleep(heldFor)
-				s.ForwardUntil(j, 1, s.id, until)
+				s.Fleet.Forward(j, 1, s.id, until)
 			}))
 			s.settle("the end of the forward", func() bool { return len(ends) > 0 })
 			if ends[0].Result != dispatch.NotSent || s.Counts.Stopped[b.why] != 1 || len(s.heard) > 0 {
@@ -94,7 +94,7 @@
 			var ends []dispatch.Outcome
 			s.Event = func(e dispatch.Event) { ends = append(ends, e.(dispatch.Outcome)) }
 			j := s.job(1)
-			s.ForwardUntil(j, 1, s.id, b.until(s, j))
+			s.Fleet.Forward(j, 1, s.id, b.until(s, j))
 			arrived := readAfter(far, heldFor)
 			s.settle("the end of the forward", func() bool { return len(ends) > 0 })
 			got := <-arrived
@@ -131,7 +131,7 @@
 			s.Event = func(e dispatch.Event) { ends = append(ends, e.(dispatch.Outcome)) }
 			j := s.job(1)
 			j.Body = bytes.Repeat([]byte("x"), 60<<10)
-			s.ForwardUntil(j, 1, s.id, b.until(s, j))
+			s.Fleet.Forward(j, 1, s.id, b.until(s, j))
 			far, err := l.Accept()
 			if err != nil {
 				t.Fatal(err)
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -22,88 +22,92 @@
 	redialRoom = 8
 )
 
-// ask sends on the connection used last, as it is the least likely to have been closed by the worker, or opens one.
+// send sends on the connection used last, as it is the least likely to have been closed by the worker, or opens one.
 // False: it has failed at once, and done has been called.
-func (f *Fleet) ask(w *worker, a *ask) bool {
+func (f *Fleet) send(w *worker, x *exchange) bool {
 	for n := len(w.idle) - 1; n >= 0; n-- {
-		l := w.idle[n]
-		rested := f.loop.Now() - l.parked
-		if a.alone && rested < strayMost {
+		c := w.idle[n]
+		rested := f.loop.Now() - c.parked
+		if x.needsProof && rested < strayMost {
 			continue
 		}
 		w.idle = slices.Delete(w.idle, n, n+1)
-		l.expiry.Stop()
-		if rested > f.keeps() || l.c.Readable() { // its end, or an answer to nothing, that has not been read yet
-			l.c.Close()
+		c.expiry.Stop()
+		if rested > f.idleTime() || c.socket.Readable() { // its end, or an answer to nothing, that has not been read yet
+			c.socket.Close()
 			continue
 		}
-		l.c.Set(conn.Busy)
-		l.ask, a.line = a, l
-		return l.send()
+		c.socket.Set(conn.Busy)
+		c.exchange, x.connection = x, c
+		return c.send()
 	}
 	if !f.share.Spare(0) {
-		a.done(nil, conn.Crowded)
+		x.done(nil, conn.NoDescriptor)
 		return false
 	}
-	f.dial(w, a, f.loop.Now()+f.site.ConnTimeout)
+	f.dial(w, x, f.loop.Now()+f.site.ConnTimeout)
 	return true
 }
 
-// dial opens one more connection for what is asked. All have the time of the first.
-func (f *Fleet) dial(w *worker, a *ask, until time.Duration) {
+// dial opens one more connection for an exchange. All have the time of the first.
+func (f *Fleet) dial(w *worker, x *exchange, until time.Duration) {
 	f.Counts.Dialled++
-	l := &line{fleet: f, worker: w, endpoint: w.endpoint, parser: http1.Parser{Answers: true}, ask: a}
-	l.c = f.share.Dial(w.endpoint, until-f.loop.Now(), l)
-	if a.dials = append(a.dials, l); len(a.dials) < dialsMost {
-		a.again = f.loop.After(f.site.ConnTimeout/redialPart, func() {
-			if f.share.Room() > redialRoom && w.entry.Standing == dispatch.Ready && w.endpoint == l.endpoint {
-				f.dial(w, a, until)
+	c := &connection{fleet: f, worker: w, endpoint: w.endpoint, parser: http1.Parser{Answers: true}, exchange: x}
+	c.socket = f.share.Dial(w.endpoint, until-f.loop.Now(), c)
+	if x.dialling = append(x.dialling, c); len(x.dialling) < dialsMost {
+		x.redial = f.loop.After(f.site.ConnTimeout/redialPart, func() {
+			if f.share.Room() > redialRoom && w.entry.Standing == dispatch.Ready && w.endpoint == c.endpoint {
+				f.dial(w, x, until)
 			}
 		})
 	}
 }
 
-func (l *line) park() {
-	l.expiry.Stop()
-	w, f := l.worker, l.fleet
-	if f.keeps() < keepLeast {
-		l.c.Close()
+// park puts a connection back into the pool.
+func (c *connection) park() {
+	c.expiry.Stop()
+	w, f := c.worker, c.fleet
+	if f.idleTime() < keepLeast {
+		c.socket.Close()
 		return
 	}
-	w.idle = append(w.idle, l)
-	l.c.Set(conn.Done) // whatever comes over it is no answer
-	l.kept, l.parked = true, f.loop.Now()
-	l.expiry = f.loop.After(f.keeps(), func() {
-		w.forget(l)
-		l.c.Close()
+	w.idle = append(w.idle, c)
+	c.socket.Set(conn.Done) // whatever comes over it is no answer
+	c.reused, c.parked = true, f.loop.Now()
+	c.expiry = f.loop.After(f.idleTime(), func() {
+		w.remove(c)
+		c.socket.Close()
 	})
 }
 
-func (w *worker) forget(l *line) {
+// remove takes one out of the pool that has ended.
+func (w *worker) remove(c *connection) {
 	for i, other := range w.idle {
-		if other == l {
-			l.expiry.Stop()
+		if other == c {
+			c.expiry.Stop()
 			w.idle = append(w.idle[:i], w.idle[i+1:]...)
 			return
 		}
 	}
 }
 
+// shutIdle closes those of a worker that are in the pool.
 func (w *worker) shutIdle() {
-	for _, l := range w.idle {
-		l.expiry.Stop()
-		l.c.Close()
+	for _, c := range w.idle {
+		c.expiry.Stop()
+		c.socket.Close()
 	}
 	w.idle = nil
 }
 
-// keeps is how long connections are kept: a part of the time that the settings give, as a request must not cross the
+// idleTime is how long connections are kept: a part of the time that the settings give, as a request must not cross the
 // worker's closing, and less while kept ones end before that.
-func (f *Fleet) keeps() time.Duration {
+func (f *Fleet) idleTime() time.Duration {
 	most := time.Duration(idlePart * float64(f.site.ConnIdle))
-	return min(most, f.lasts<<min(int((f.loop.Now()-f.broke)/keepAgain), 30))
+	return min(most, f.lasted<<min(int((f.loop.Now()-f.brokeAt)/keepAgain), 30))
 }
 
-func (f *Fleet) distrust(lasted time.Duration) {
-	f.lasts, f.broke = min(f.keeps(), max(lasted/2, keepLeast/2)), f.loop.Now()
+// shortenIdleTime keeps connections for less from now on, as one has ended after resting for so long.
+func (f *Fleet) shortenIdleTime(lasted time.Duration) {
+	f.lasted, f.brokeAt = min(f.idleTime(), max(lasted/2, keepLeast/2)), f.loop.Now()
 }
--- a/internal/workers/probe.go
+++ b/internal/workers/probe.go
@@ -6,17 +6,17 @@
 	"stoatweir/internal/http1"
 )
 
-// answered tells what an answer other than 202 to a forward, or any to a probe, amounts to.
-func answered(m *http1.Message) conn.Ending {
+// endingOf tells what an answer other than 202 to an attempt, or any to a probe, amounts to.
+func endingOf(m *http1.Message) conn.Ending {
 	switch {
 	case m.Status == 200:
-		return conn.Served
+		return conn.Succeeded
 	case (m.Status == 503 || m.Status == 504) && m.Header.Get("X-Rejected") == "1":
-		return conn.TurnedAway
+		return conn.Rejected
 	case m.Status >= 400 && m.Status < 500:
-		return conn.Unfit
+		return conn.BadRequest
 	}
-	return conn.Faulted
+	return conn.WorkerError
 }
 
 func (f *Fleet) load(w *worker, m *http1.Message) *dispatch.Load {
@@ -27,12 +27,12 @@
 	if load == nil {
 		load = f.site.Report.Parse(string(m.Body))
 	}
-	return w.said(load, f.site.Report.Blank())
+	return w.firstReport(load, f.site.Report.Blank())
 }
 
-// said passes a report on. Until a worker has measured anything, its report is all noughts: taken at its word no slot
+// firstReport passes a report on. Until a worker has measured anything, its report is all noughts: taken at its word no slot
 // would be free there, and a scheduler that starts with the workers would hold everything until their first figures.
-func (w *worker) said(load *dispatch.Load, blank dispatch.Load) *dispatch.Load {
+func (w *worker) firstReport(load *dispatch.Load, blank dispatch.Load) *dispatch.Load {
 	if load == nil || !w.reports && *load == blank {
 		return nil
 	}
@@ -57,18 +57,18 @@
 		f.Counts.Answered[e.String()]++
 		f.Event(dispatch.Answer{Worker: id, Result: e.Result(), Took: f.loop.Now() - asked, Load: load})
 	}
-	a := &ask{request: always(request)}
-	a.done = func(m *http1.Message, e conn.Ending) {
+	x := &exchange{request: unbounded(request)}
+	x.done = func(m *http1.Message, e conn.Ending) {
 		if m != nil {
-			e = answered(m)
+			e = endingOf(m)
 		}
 		answer(e, f.load(w, m))
 	}
-	if f.ask(w, a) {
-		a.limit = f.loop.After(probeWithin, func() {
+	if f.send(w, x) {
+		x.limit = f.loop.After(probeWithin, func() {
 			// The others that are kept may be as dead: work that is sent on a new one that never comes up has
 			// provably not run, and is free to go elsewhere.
-			a.drop()
+			x.abandon()
 			w.shutIdle()
 			answer(conn.Stalled, nil)
 		})
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -46,8 +46,8 @@
 // Counts of what went out and how it ended.
 type Counts struct {
 	Sent, Probes, Cancels, News, Strange, Dialled int
-	Ended, Answered                               map[string]int // forwards and probes, by how they ended
-	Stopped                                       map[string]int // forwards that the last check before the first byte stopped, by reason
+	Ended, Answered                               map[string]int // attempts and probes, by how they ended
+	Stopped                                       map[string]int // attempts that the last check before the first byte stopped, by reason
 }
 
 // Fleet is the workers as seen from here.
@@ -56,31 +56,31 @@
 	Deliver func(inv dispatch.InvID, result string) // to the client, unless it is gone or has its answer
 	Owed    func(dispatch.InvID) bool               // whether its client still waits for an answer
 	Waits   func(dispatch.InvID) bool               // the same at the moment of a send, with the kernel asked
-	Wrote   func()                                  // a forward has been written whole
+	Wrote   func()                                  // an attempt has been written whole
 	Counts  Counts
 
 	loop     *conn.Loop
 	site     settings.Site
 	share    *conn.Share
-	lasts    time.Duration // so long a kept connection may be trusted, as it seemed when one last broke
-	broke    time.Duration // that was then
+	lasted   time.Duration // so long a kept connection may be trusted, as it seemed when one last broke
+	brokeAt  time.Duration // that was then
 	workers  map[dispatch.WorkerID]*worker
 	byUID    map[string]*worker
-	byNumber map[number]*forward
-	byName   map[name]*forward
+	byNumber map[attemptKey]*attempt
+	byName   map[workKey]*attempt
 }
 
 type worker struct {
 	uid, endpoint string
 	entry         dispatch.Entry // as the list last had it
 	reports       bool           // it has said something of its load since its start
-	idle          []*line        // used last is last
+	idle          []*connection  // used last is last
 }
 
 // NewFleet knows no workers yet.
 func NewFleet(loop *conn.Loop, site settings.Site, share *conn.Share) *Fleet {
-	return &Fleet{loop: loop, site: site, share: share, lasts: site.ConnIdle, workers: map[dispatch.WorkerID]*worker{},
-		byUID: map[string]*worker{}, byNumber: map[number]*forward{}, byName: map[name]*forward{},
+	return &Fleet{loop: loop, site: site, share: share, lasted: site.ConnIdle, workers: map[dispatch.WorkerID]*worker{},
+		byUID: map[string]*worker{}, byNumber: map[attemptKey]*attempt{}, byName: map[workKey]*attempt{},
 		Counts: Counts{Ended: map[string]int{}, Answered: map[string]int{}, Stopped: map[string]int{}}}
 }
 
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -106,6 +106,11 @@
 	return s
 }
 
+// Forward begins an attempt that the client timeout alone bounds.
+func (s *stage) Forward(inv *Invocation, fwd int, to dispatch.WorkerID) {
+	s.Fleet.Forward(inv, fwd, to, 0)
+}
+
 // say has the worker send something over its nth connection.
 func (s *stage) say(n int, text string) {
 	s.mu.Lock()
@@ -365,9 +370,9 @@
 		s.Forward(s.job(n), 0, s.id)
 		s.until(1, 1)
 	}
-	fmt.Println("kept for less:", s.keeps() < keepLeast)
-	s.broke -= time.Minute
-	fmt.Println(s.keeps())
+	fmt.Println("kept for less:", s.idleTime() < keepLeast)
+	s.brokeAt -= time.Minute
+	fmt.Println(s.idleTime())
 	// Output:
 	// connection 1: POST /render/7f HTTP/1.1 id1 body
 	// inv 1 forward 0: taken=true started=false done=0
