Workers that were set aside come back without probes, and trials end without other work

Cause: worker.comeBack was called for answered probes and signs of work alone, so that nothing brought a worker back where no probes are allowed; and desk.fits kept non-idempotent work off a worker on trial, so that no trial ended where there is no other. A scheduler whose workers had all been lost for a second turned away everything for good.

--- a/cmd/stoatweir/pass.go
+++ b/cmd/stoatweir/pass.go
@@ -225,14 +225,19 @@
 func (s *service) heir(l *legacy) (operation int, known bool) {
 	operation, known = s.site.Current[l.Name]
 	if !known || s.site.Deployment.Operations[operation] != l.Operation || s.site.Timeouts[operation] != l.Timeout ||
-		len(l.Workers) != len(l.Record.Tries) || len(l.Zones) != len(l.Record.Tries) {
+		len(l.Workers) != len(l.Record.Tries) {
 		return 0, false
 	}
+	if len(l.Zones) < len(l.Workers) && l.Operation.Effect == dispatch.Deduplicated {
+		return 0, false // a process of before does not say where its repeats are dropped
+	}
 	for n, uid := range l.Workers {
 		if l.Record.Tries[n].Worker, known = s.fleet.ID(uid); !known {
 			return 0, false
 		}
-		l.Record.Tries[n].Zone = s.list.Zone(l.Zones[n])
+		if n < len(l.Zones) {
+			l.Record.Tries[n].Zone = s.list.Zone(l.Zones[n])
+		}
 	}
 	if s.hosting != nil {
 		l.Record.Tenant, known = s.hosting.heir(l.ID)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,7 +38,7 @@
 	hintLow, waitShare      = 1.4, 0.5            // work over hinted cost in the middle; slack for waiting
 
 	beat, patience       = 20 * time.Millisecond, 300 * time.Millisecond   // time alone decides; a sign is due
-	asideFirst, awaySpan = 500 * time.Millisecond, 1250 * time.Millisecond // set aside; throttled, at most
+	asideFirst, awaySpan = 500 * time.Millisecond, 1250 * time.Millisecond // set aside; throttled, or on trial for others' sake, at most
 	asideMost, upToDate  = 8 * time.Second, 10 * beat                      // at most; since a keeper's answer
 
 	askBytes, askPoints, asksMost = 32, 0.006, 5 // a question and its answer; points they may cost; most
@@ -407,7 +407,7 @@
 
 func (w *worker) comeBack(seen bool) {
 	if w.aside && seen && w.now >= w.asideTill {
-		w.aside, w.wanted, w.seen = false, trialRuns*max(1, w.asides), w.now
+		w.aside, w.wanted, w.seen, w.back = false, trialRuns*max(1, w.asides), w.now, w.now
 		w.do(Log{fmt.Sprintf("worker %v is back, on trial", w.id)})
 	}
 }
@@ -462,6 +462,9 @@
 			w.setAside("silent", true)
 		}
 	}
+	if !w.probes { // nobody may ask it: time alone lets it be tried again
+		w.comeBack(true)
+	}
 	if past := w.now - w.probedAt; w.recheck && past >= beat || longest > 0 && past >= max(patience, longest) ||
 		w.aside && w.now >= w.asideTill && past >= asideFirst/2 {
 		w.recheck = false
@@ -921,7 +924,7 @@
 func (k *desk) fits(j *inv, at int, c *card) bool {
 	spared := len(k.refused) > 0 && k.refused[[3]int{at, j.op, j.tenant}][0] > k.now
 	return !spared &&
-		!(c.trial && (c.ours > 0 || k.ops[j.op].effect == NonIdempotent)) &&
+		!(c.trial && (c.ours > 0 || k.ops[j.op].effect == NonIdempotent && k.now < c.back+awaySpan)) &&
 		!slices.ContainsFunc(j.tries, func(t tried) bool { return t.at == at && (t.out || t.ran) }) &&
 		(c.warmth == 1 || k.warms(j.cost, c))
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -471,6 +471,7 @@
 	busy, asking             bool
 	lot                      int           // schedulers before us while it is cold
 	seen                     time.Duration // when it was last asked: the pool is those asked last
+	back                     time.Duration // when it last came back on trial
 	due                      time.Duration // before that nothing comes of looking at the time
 	room, last, size         float64       // estimate, last figure, the most seen free
 	service                  float64       // running time by its reports
