What comes over a kept connection during the last check is met before its request is written

Cause: Readable was asked when a connection was picked. Fleet.allowed asks the kernel for the client after that, and other threads run at each system call: a stray answer that came in between stood before the request, which took it for its own. A stray refusal then says that non-idempotent work never ran which runs, and it is sent again. Change: Conn.Send asks once more behind the check. A kept connection that can't be used passes the exchange on to another (connection.replace) instead of telling of a worker that can't be reached.

--- a/internal/conn/send.go
+++ b/internal/conn/send.go
@@ -20,7 +20,7 @@
 	Allowed func() Ending
 }
 
-// Send writes a message over a connection that has nothing queued. Open says that some of it has been written; any other ending is
+// Send writes a message over a connection that has nothing queued and on which nothing unread stands. Open says that some of it has been written; any other ending is
 // why nothing was. What the socket does not take at once follows in the background. If that takes until m.Until, the connection
 // ends NotWritten: the last byte is never written.
 //
@@ -34,6 +34,9 @@
 			return why
 		}
 	}
+	if c.Readable() {
+		return NotWritten // its end, or what would be taken for the answer
+	}
 	if m.Until > 0 && c.loop.Clock() >= m.Until {
 		return NotSent
 	}
--- a/internal/workers/connection.go
+++ b/internal/workers/connection.go
@@ -33,10 +33,8 @@
 	}
 	switch why := c.socket.Send(x.request()); why {
 	case conn.Open:
-	case conn.NotWritten: // the connection has ended before it could be used
-		c.finish(nil, why)
-		c.socket.Close()
-		return false
+	case conn.NotWritten:
+		return c.replace()
 	default:
 		c.finish(nil, why)
 		c.park()
@@ -51,6 +49,20 @@
 	return true
 }
 
+// replace passes the exchange on to another connection, as this one has ended, or something unasked has come over it, since it was
+// put into the pool. One that has just come up is not replaced: the worker is at fault.
+func (c *connection) replace() bool {
+	x := c.exchange
+	if !c.reused {
+		c.finish(nil, conn.NotWritten)
+		c.socket.Close()
+		return false
+	}
+	c.exchange, x.connection = nil, nil
+	c.socket.Close()
+	return c.fleet.send(c.worker, x)
+}
+
 // finish ends the exchange, with its answer if there is one.
 func (c *connection) finish(m *http1.Message, e conn.Ending) {
 	x := c.exchange
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -33,7 +33,7 @@
 		}
 		w.idle = slices.Delete(w.idle, n, n+1)
 		c.expiry.Stop()
-		if rested > f.idleTime() || c.socket.Readable() { // its end, or an answer to nothing, that has not been read yet
+		if rested > f.idleTime() {
 			c.socket.Close()
 			continue
 		}
