--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -35,6 +35,7 @@
 	asideProbes, trialRuns  = 2, 3                // answers until it is on trial, successes until in full
 	gives, servedWell       = 1000, 0.95          // how far late work gives way; served of what is served well
 	unfitMost, sureTimes    = 2, 1.5              // workers that need not have one; its pace, to be sure
+	unmeasuredTimes         = 3                   // its hint, for a cold worker, until results tell how far hints are off
 	hintLow, waitShare      = 1.4, 0.5            // work over hinted cost in the middle; slack for waiting
 
 	beat, patience       = 20 * time.Millisecond, 300 * time.Millisecond   // time alone decides; a sign is due
@@ -597,12 +598,26 @@
 func (k *desk) hold(i int) {
 	j := &k.invs[i]
 	j.size = j.work * (1 + spreadTimes*k.ops[j.op].ratios.spread())
-	j.cost = j.work * max(1, k.ops[j.op].rough.mean())
+	j.cost = k.expectedCost(j)
 	k.rank(j)
 	at := sort.Search(len(k.held), func(n int) bool { return k.invs[k.held[n]].rank < j.rank })
 	k.held = slices.Insert(k.held, at, i)
 }
 
+// expectedCost is what an invocation counts for at a cold worker. All hints may be far off, which only results show: until there
+// is one of its operation, the running time that workers report is the least, and without reports hints count several times.
+func (k *desk) expectedCost(j *inv) float64 {
+	measured := k.ops[j.op].rough
+	switch {
+	case len(measured) > 0:
+		return j.work * max(1, measured.mean())
+	case k.all.service > 0:
+		return max(j.work, k.all.service)
+	default:
+		return j.work * unmeasuredTimes
+	}
+}
+
 // rank is weight over size: of what an answer still brings, less once late or beyond its tenant's share.
 func (k *desk) rank(j *inv) {
 	o := &k.ops[j.op]
