One guard for sending, repeating, closing and starting, with counted violations and histories

internal/guard keeps books of its own. Each attempt asks it directly before its first byte (Fleet.allowed), each final answer, each end of a connection by our doing and each start of a worker passes it. What must not happen is stopped where it can be, counted by rule, and logged with the request's steps. A refusal of what may have run is given as a failure.

Logs and metrics with it: the steps of a request (GET /-/history?id=), why answers other than a result were given (dispatch.Why), retries by how the attempt before ended, why connections of clients ended, changes of workers in the list.

--- /dev/null
+++ b/cmd/stoatweir/guard.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+
+	"stoatweir/dispatch"
+	"stoatweir/internal/guard"
+	"stoatweir/internal/workers"
+)
+
+// terms are what the guard holds a request to. It keeps those under which it came, whatever the settings become.
+func (s *service) terms(j *workers.Invocation, operation int) guard.Terms {
+	d := &s.site.Deployment
+	o := &d.Operations[operation]
+	return guard.Terms{ID: j.ID, Effect: o.Effect, Scope: o.Scope, Window: o.DedupWindow, Deadline: j.GivenUp,
+		MostAttempts: d.Allowed.MaxForwards, MostOut: d.Allowed.MaxOut}
+}
+
+// inherited are the attempts that another process made, as the guard knows them.
+func (s *service) inherited(tries []dispatch.Try) (all []guard.Inherited) {
+	for number, t := range tries {
+		all = append(all, guard.Inherited{Number: number, Worker: s.fleet.UID(t.Worker), Zone: t.Zone, Cell: t.Cell, Age: t.Age, Out: t.Out, Ran: t.Ran})
+	}
+	return all
+}
+
+// reason tells why the answer that is being given is given, and counts refusals and failures by it.
+func (s *service) reason(inv dispatch.InvID) string {
+	why := s.why
+	if why == "" {
+		why = string(s.core.Why(inv))
+	}
+	if why != "" {
+		s.givenUp[why]++
+	}
+	return why
+}
+
+// historyOf lists what is known of a request, a line each.
+func (s *service) historyOf(id string) []byte {
+	var text []byte
+	for _, t := range s.fleet.Guard.HistoryByID(id) {
+		text = fmt.Appendln(text, t)
+	}
+	return text
+}
+
+// violated logs what the guard has found, with all that is known of the request.
+func (s *service) violated(v guard.Violation) {
+	fields := logrus.Fields{"rule": string(v.Reason)}
+	if v.ID != "" {
+		fields["id"] = v.ID
+	}
+	if v.Worker != "" {
+		fields["worker"] = v.Worker
+	}
+	for n, t := range v.History {
+		fields[fmt.Sprintf("step_%02d", n)] = t.String()
+	}
+	s.log.WithFields(fields).Error("a rule would have been broken, or was")
+}
--- a/cmd/stoatweir/life.go
+++ b/cmd/stoatweir/life.go
@@ -91,7 +91,7 @@
 		s.pass()
 	}
 	if m.Rests {
-		s.failRest()
+		s.failRest("the time to stop is over")
 	}
 	waits := m.Passes && !m.Shuts && s.door.Passable()
 	if m.Over || m.Leaves && !waits && s.door.InHand() == 0 && !s.door.Busy() && s.door.Close() {
--- a/cmd/stoatweir/pass.go
+++ b/cmd/stoatweir/pass.go
@@ -215,6 +215,7 @@
 			s.fleet.Keep(j, fwd, try.Worker)
 		}
 	}
+	s.fleet.Guard.Inherit(inv, s.terms(j, operation), s.inherited(l.Record.Tries))
 	l.Record.Inv, l.Record.Operation = inv, operation
 	s.events = append(s.events, l.Record)
 	return true
--- a/cmd/stoatweir/retune.go
+++ b/cmd/stoatweir/retune.go
@@ -66,5 +66,6 @@
 	s.askWithin()
 	s.door.Retune(site)
 	s.fleet.Retune(site)
+	s.fleet.Guard.Allow(site.Deployment.Allowed.MaxForwards, site.Deployment.Allowed.MaxOut)
 	s.events = append(s.events, dispatch.Retuned{Deployment: site.Deployment, From: from})
 }
--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -80,6 +80,8 @@
 	chance        *rand.Rand // for what the module does not decide
 	unlisted      int        // watches of a pushed list that failed in a row
 	panics        int
+	givenUp       map[string]int // answers other than a result, by why they were given
+	why           string         // answers are given now, if not by the module's word
 	waits, thinks *hdrhistogram.Histogram
 }
 
@@ -96,7 +98,7 @@
 	start, given := time.Now(), node
 	loop := conn.NewLoop(start)
 	ours, theirs, book := loop.Share(0), loop.Share(0), ledger.New()
-	s := &service{loop: loop, ours: ours, theirs: theirs, log: log, book: book, node: given, base: given.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{},
+	s := &service{loop: loop, ours: ours, theirs: theirs, log: log, book: book, node: given, base: given.Site, known: node.Known, invs: map[dispatch.InvID]*tracked{}, givenUp: map[string]int{},
 		seed: node.Seed, last: -1,
 		door:  clients.New(loop, node.Site, ours, book),
 		fleet: workers.NewFleet(loop, node.Site, theirs),
@@ -116,8 +118,10 @@
 	s.door.Took = func(j *workers.Invocation, operation int) {
 		j.Effect = s.effect(operation)
 		s.invs[j.Inv] = &tracked{Invocation: j, operation: operation, seat: s.hosting.came(j.ID)}
+		s.fleet.Guard.Take(j.Inv, s.terms(j, operation))
 	}
-	s.door.News, s.door.Report = s.fleet.Take, s.report
+	s.door.Guard, s.door.Reason, s.fleet.Guard.Report = s.fleet.Guard, s.reason, s.violated
+	s.door.News, s.door.Report, s.door.History = s.fleet.Take, s.report, s.historyOf
 	s.door.Relay, s.door.Foreign, s.door.Holds = s.relay, s.foreign, s.holds
 	s.door.Served = func(t time.Duration) { s.waits.RecordValue(t.Microseconds()) }
 	s.door.Manner = func() life.Manner { return s.life.At(loop.Now()) }
@@ -191,6 +195,9 @@
 	s.decide()
 	s.publish()
 	s.loop.Run(s.decide)
+	for _, inv := range s.door.Rest() {
+		s.fleet.Guard.Closed(inv)
+	}
 	s.post.Close()
 	s.road.Close()
 	if s.hosting != nil {
@@ -280,7 +287,7 @@
 // it is answered, and its forwards are given up.
 func (s *service) restart() {
 	s.log.Error("the decisions start anew; in hand: ", s.door.InHand())
-	s.failRest()
+	s.failRest("the decisions start anew")
 	for _, inv := range slices.Sorted(maps.Keys(s.invs)) {
 		for fwd := range s.invs[inv].forwards {
 			s.fleet.Cancel(inv, fwd)
@@ -300,7 +307,9 @@
 }
 
 // failRest answers all that is owed. Where nothing was ever sent, asking again is harmless whatever the operation.
-func (s *service) failRest() {
+func (s *service) failRest(why string) {
+	s.why = why
+	defer func() { s.why = "" }()
 	for _, inv := range s.door.Rest() {
 		if j := s.invs[inv]; j != nil && j.forwards == 0 {
 			s.door.Throttle(inv, 0)
@@ -394,7 +403,7 @@
 		"turns":      map[string]int64{"count": turns.Count, "worst_us": turns.Worst.Microseconds(), "worst_10s_us": turns.Lately.Microseconds()},
 		"heap_bytes": stored[heapLive], "allocations": stored[heapAllocs], "collections": stored[gcCycles],
 		"peers":       told,
-		"invocations": s.book.Figures(s.fleet.Listed(), s.core.Avoided()), "clients": s.door.Counts, "workers": s.fleet.Counts, "watches": s.list.Calls, "in_hand": s.door.InHand(),
+		"invocations": s.book.Figures(s.fleet.Listed(), s.core.Avoided()), "clients": s.door.Counts, "connections_ended": s.door.Ended, "workers": s.fleet.Counts, "guard": s.fleet.Guard.Counts, "refused": s.givenUp, "watches": s.list.Calls, "in_hand": s.door.InHand(),
 		"out": s.fleet.Out(), "panics": s.panics, "sockets": s.ours.Used() + s.theirs.Used(), "served_us": spread(s.waits),
 		"decided_us": spread(s.thinks),
 	})
--- a/cmd/stoatweir/storm_test.go
+++ b/cmd/stoatweir/storm_test.go
@@ -510,6 +510,9 @@
 	if service.panics > 0 {
 		t.Error("panics: ", service.panics)
 	}
+	if violations := service.fleet.Guard.Counts.Violations; len(violations) > 0 {
+		t.Error("the guard counted ", violations)
+	}
 	t.Log(s.tally)
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -703,6 +703,7 @@
 func (k *desk) giveUp(i int) {
 	j := &k.invs[i]
 	o := &k.ops[j.op]
+	k.why[j.id] = k.reason(j)
 	switch out, first := j.live(); {
 	case out > 0: // it may still be answered
 		k.unhold(i)
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -32,7 +32,7 @@
 	d.rng = rand.New(rand.NewSource(seed))
 	d.inbox = inbox{house: &d.house, read: d.read}
 	d.desk = desk{inbox: inbox{house: &d.house, read: d.desk.read}, door: d, arrivals: samples{0}, size: few,
-		refused: map[[3]int][2]time.Duration{}, credit: few, paces: map[int]samples{}, paced: map[int]float64{}}
+		refused: map[[3]int][2]time.Duration{}, why: map[InvID]Reason{}, credit: few, paces: map[int]samples{}, paced: map[int]float64{}}
 	if d.tune(Retuned{Deployment: dep}); d.me < 0 { // not told: one of our own serves as well, others by chance
 		d.me = d.rng.Intn(max(1, dep.Peers))
 	}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -611,6 +611,7 @@
 	size, each, credit, queue       float64       // of the pool; probes an invocation pays for, and in hand
 	creditAt, viewed, left, learned time.Duration // left: when the last forward or first question did
 	jobs, clones                    float64
+	why                             map[InvID]Reason // of those given up at this moment
 	arrivals                        samples
 	sums                            survey
 	tenants                         []tenant
@@ -643,6 +644,7 @@
 // Handle takes the events of one moment and gives back what is to be done, good until the next call.
 func (d *Dispatcher) Handle(now time.Duration, events []Event) []Action {
 	d.now, d.out = now, d.out[:0]
+	clear(d.desk.why)
 	for _, event := range events {
 		d.enter(event)
 	}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -14,6 +14,7 @@
 
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
+	"stoatweir/internal/guard"
 	"stoatweir/internal/http1"
 	"stoatweir/internal/ledger"
 	"stoatweir/internal/life"
@@ -23,7 +24,7 @@
 )
 
 const (
-	newsPath, readyPath, countsPath = "/_jobs/news", "/-/ready", "/-/counts"
+	newsPath, readyPath, countsPath, historyPath = "/_jobs/news", "/-/ready", "/-/counts", "/-/history"
 
 	// early is how long before its client stops waiting an invocation counts as given up: the request was on its way
 	// before it was read here, and the answer has a way to go too.
@@ -53,14 +54,22 @@
 	Connections, Overdue, Malformed, Crowded, Silent int
 }
 
+// Why connections end by our own doing; all others have the ending's name.
+const (
+	endedAnswered = "with its answer"
+	endedIdle     = "idle"
+	endedHanded   = "handed over"
+)
+
 // Door is where clients and workers' news come in.
 type Door struct {
-	Event  func(dispatch.Event)
-	Took   func(j *workers.Invocation, operation int) // an invocation has come; the event follows
-	News   func(workers.News) bool                    // of a worker; false: of nothing that is known here
-	Served func(time.Duration)                        // how long a client waited for its worker's result
-	Manner func() life.Manner
-	Report func() []byte // the counters, for people
+	Event   func(dispatch.Event)
+	Took    func(j *workers.Invocation, operation int) // an invocation has come; the event follows
+	News    func(workers.News) bool                    // of a worker; false: of nothing that is known here
+	Served  func(time.Duration)                        // how long a client waited for its worker's result
+	Manner  func() life.Manner
+	Report  func() []byte          // the counters, for people
+	History func(id string) []byte // what is known of a request
 	// The other process that serves at our address, while there is one. Relay passes news on that is for nobody here, and
 	// tells later whether it was heard there; false: there is nobody to ask. Foreign: an id is in hand there. Holds: one is
 	// here.
@@ -68,9 +77,12 @@
 	Foreign func(id string) bool
 	Holds   func(id string, holds bool)
 	Counts  Counts
-	Longest time.Duration // that a client has said it waits
+	Ended   map[string]int // connections, by why they ended
+	Longest time.Duration  // that a client has said it waits
 	Ledger  *ledger.Ledger
-	Gate    *tenants.Gate // who may come in, where tenants are served; nil: all may
+	Gate    *tenants.Gate               // who may come in, where tenants are served; nil: all may
+	Guard   *guard.Guard                // each final answer and each end of a connection passes it; nil: none does
+	Reason  func(dispatch.InvID) string // why the answer that is being given is given, for the history of the request; nil: not told
 
 	loop       *conn.Loop
 	share      *conn.Share
@@ -108,7 +120,7 @@
 func New(loop *conn.Loop, site settings.Site, share *conn.Share, book *ledger.Ledger) *Door {
 	d := &Door{loop: loop, share: share,
 		inHand: map[dispatch.InvID]*inHand{}, ids: map[string]bool{}, visits: map[*visit]struct{}{},
-		more: make(chan struct{}, 1), Ledger: book}
+		more: make(chan struct{}, 1), Ledger: book, Ended: map[string]int{}}
 	d.Retune(site)
 	share.Freed = func() {
 		if d.waits {
@@ -244,11 +256,24 @@
 
 func (d *Door) answer(inv dispatch.InvID, how ledger.Disposition, status int, body []byte, fields ...http1.Field) {
 	v := d.inHand[inv].visit
+	if given := d.Guard.Answer(inv, kinds[how], d.reason(inv)); given != kinds[how] {
+		how, status, fields = ledger.Aborted, 500, nil // the only answer that promises nothing
+	}
 	d.forget(inv, how)
 	v.inv = 0
 	v.answer(status, body, fields...)
 }
 
+var kinds = map[ledger.Disposition]guard.Kind{ledger.Succeeded: guard.Succeeded, ledger.Declined: guard.Refused,
+	ledger.Aborted: guard.Failed, ledger.Abandoned: guard.Abandoned, ledger.Handed: guard.Handed}
+
+func (d *Door) reason(inv dispatch.InvID) string {
+	if d.Reason == nil {
+		return ""
+	}
+	return d.Reason(inv)
+}
+
 // forget is where every invocation ends, once.
 func (d *Door) forget(inv dispatch.InvID, how ledger.Disposition) {
 	j := d.inHand[inv]
@@ -365,11 +390,16 @@
 }
 
 // Down of a client with an invocation in hand: it has gone away.
-func (v *visit) Down(*conn.Conn, conn.Ending) {
+func (v *visit) Down(_ *conn.Conn, e conn.Ending) {
 	d := v.door
 	delete(d.visits, v)
 	v.slow.Stop()
+	d.Ended[e.String()]++
+	if e == conn.NoDescriptor {
+		d.Guard.Closed(v.inv) // it was we who closed it
+	}
 	if v.inv != 0 && d.Owed(v.inv) {
+		d.Guard.Answer(v.inv, guard.Abandoned, e.String())
 		d.forget(v.inv, ledger.Abandoned)
 		d.Event(dispatch.Withdrawn{Inv: v.inv})
 	}
@@ -393,12 +423,16 @@
 			return
 		}
 		v.slow.Stop()
+		v.door.Guard.Closed(v.inv)
+		v.door.Ended[endedIdle]++
 		delete(v.door.visits, v)
 		v.c.Close()
 	})
 }
 
 func (v *visit) quit() {
+	v.door.Guard.Closed(v.inv)
+	v.door.Ended[endedAnswered]++
 	delete(v.door.visits, v)
 	v.slow.Stop()
 	v.c.Quit()
@@ -475,7 +509,7 @@
 
 func (v *visit) take(m *http1.Message) {
 	d := v.door
-	path, _, _ := strings.Cut(m.Target, "?")
+	path, query, _ := strings.Cut(m.Target, "?")
 	switch {
 	case path == newsPath:
 		v.news(m)
@@ -485,6 +519,8 @@
 		v.answer(503, nil)
 	case path == countsPath && d.Gate == nil: // where tenants are served these are other tenants' figures too
 		v.answer(200, d.Report(), http1.Field{Name: "Content-Type", Value: "application/json"})
+	case path == historyPath && d.Gate == nil && d.History != nil:
+		v.answer(200, d.History(strings.TrimPrefix(query, "id=")), http1.Field{Name: "Content-Type", Value: "text/plain"})
 	case m.Method != "POST":
 		v.refuse(405)
 	default:
--- a/internal/clients/crossings_test.go
+++ b/internal/clients/crossings_test.go
@@ -17,6 +17,7 @@
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
 	"stoatweir/internal/discovery"
+	"stoatweir/internal/guard"
 	"stoatweir/internal/settings"
 	"stoatweir/internal/workers"
 )
@@ -182,7 +183,7 @@
 	var ends []dispatch.Event
 	f.Event = func(e dispatch.Event) { ends = append(ends, e) }
 	var j *workers.Invocation
-	d.Took, d.Event = func(given *workers.Invocation, _ int) { j = given }, func(dispatch.Event) {}
+	d.Took, d.Event = func(given *workers.Invocation, _ int) { j = given; f.Guard.Take(j.Inv, guard.Terms{}) }, func(dispatch.Event) {}
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/clients/pass.go
+++ b/internal/clients/pass.go
@@ -7,6 +7,7 @@
 
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
+	"stoatweir/internal/guard"
 	"stoatweir/internal/ledger"
 	"stoatweir/internal/tenants"
 	"stoatweir/internal/workers"
@@ -20,8 +21,9 @@
 	Fresh  bool           // nothing has come over it yet
 	Inv    dispatch.InvID // 0: it is idle
 
-	visit *visit
-	job   *inHand
+	visit  *visit
+	job    *inHand
+	record *guard.Record
 }
 
 // Offer stops connections that could go to another process, and gives each to pass once nothing moves on it any more; most may
@@ -77,7 +79,7 @@
 		v.c.In.Drop(len(part))
 	}
 	if v.inv != 0 {
-		p.job = d.inHand[v.inv]
+		p.job, p.record = d.inHand[v.inv], d.Guard.Give(v.inv)
 		d.forget(v.inv, ledger.Handed)
 	}
 	v.parcel = p
@@ -92,6 +94,7 @@
 	v, d := p.visit, p.visit.door
 	d.passing--
 	delete(d.visits, v)
+	d.Ended[endedHanded]++
 	v.c.Close()
 	if p.job != nil {
 		delete(d.ids, p.job.id)
@@ -109,6 +112,7 @@
 		if p.job.seat != nil {
 			d.Gate.Back(d.loop.Now(), p.job.seat, p.job.ask)
 		}
+		d.Guard.TakeBack(p.Inv, p.record)
 		d.inHand[p.Inv] = p.job
 		d.watch(p.Inv, p.job)
 	}
--- a/internal/workers/attempt.go
+++ b/internal/workers/attempt.go
@@ -7,17 +7,29 @@
 
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
+	"stoatweir/internal/guard"
 	"stoatweir/internal/http1"
 )
 
-// Why the last check stopped an attempt.
+// Why the guard stopped an attempt, as the counts have it.
 const (
-	stoppedWorker  = "worker"  // it drains, is gone, has started anew or moved since it was chosen
-	stoppedClient  = "client"  // it has left, or has its answer
-	stoppedTimeout = "timeout" // the client timeout has passed
-	stoppedWindow  = "window"  // in which workers drop repeats: it has passed
+	stoppedWorker    = "worker"    // it drains, is gone, has started anew or moved since it was chosen
+	stoppedClient    = "client"    // it has left, or has its answer
+	stoppedTimeout   = "timeout"   // the client timeout has passed
+	stoppedWindow    = "window"    // in which workers drop repeats: it has passed
+	stoppedViolation = "violation" // it must not even have been asked for
 )
 
+// stops maps the guard's reasons to these, and to how the attempt ends. Whatever else it has is a violation.
+var stops = map[guard.Reason]struct {
+	why    string
+	ending conn.Ending
+}{
+	guard.WorkerUnavailable: {stoppedWorker, conn.WorkerUnavailable}, guard.WorkerRestarted: {stoppedWorker, conn.WorkerUnavailable},
+	guard.WorkerMoved: {stoppedWorker, conn.WorkerUnavailable}, guard.ClientGone: {stoppedClient, conn.NotSent},
+	guard.TimeoutPassed: {stoppedTimeout, conn.NotSent}, guard.WindowPassed: {stoppedWindow, conn.NotSent},
+}
+
 // attemptKey names an attempt as the decisions do.
 type attemptKey struct {
 	inv dispatch.InvID
@@ -53,16 +65,19 @@
 	f.Counts.Sent++
 	f.byNumber[attemptKey{inv.Inv, fwd}], f.byName[workKey{inv.ID, w.uid}] = a, a
 	a.deadline = f.loop.After(inv.GivenUp-f.loop.Now(), func() { f.end(a, conn.TimedOut, nil) })
+	asked := guard.Attempt{Request: inv.Inv, Number: fwd, Chosen: guard.Target{Worker: w.uid, Entry: chosen}, Until: until, Least: leastTold}
 	a.exchange = &exchange{
 		onWritten:  f.Wrote,
 		needsProof: inv.needsProof(),
 		request: func() conn.Outgoing {
 			left := (inv.GivenUp - f.loop.Clock()).Seconds()
-			return conn.Outgoing{Until: earlier(inv.GivenUp, until), Allowed: func() conn.Ending { return f.allowed(a, chosen, until) },
+			return conn.Outgoing{Until: earlier(inv.GivenUp, until), Allowed: func() conn.Ending { return f.allowed(a, asked) },
 				Bytes: http1.Request(inv.Method, inv.Target, w.endpoint, inv.Body, append(slices.Clip(inv.Fields),
 					http1.Field{Name: "X-Budget", Value: strconv.FormatFloat(left, 'f', 3, 64)})...)}
 		},
 		onBegun: func() {
+			asked.Now = guard.Target{Worker: w.uid, Entry: w.entry}
+			f.Guard.Begun(asked)
 			a.written, a.repeats = true, slices.Contains(inv.had, w)
 			inv.had = append(inv.had, w)
 		},
@@ -85,30 +100,20 @@
 	f.send(w, a.exchange)
 }
 
-// allowed is the last check of an attempt, directly before its first byte is written: the connection may have taken its time to
-// come up, and this process to run.
-func (f *Fleet) allowed(a *attempt, chosen dispatch.Entry, until time.Duration) conn.Ending {
-	now := a.worker.entry
-	switch {
-	case now.Standing != dispatch.Ready || now.Start != chosen.Start || now.Zone != chosen.Zone || now.Cell != chosen.Cell:
-		return f.stop(stoppedWorker, conn.WorkerUnavailable)
-	case !f.Waits(a.inv.Inv):
-		// Where the settings allow no cancel nothing else tells of a client that has left or has its answer.
-		return f.stop(stoppedClient, conn.NotSent)
+// allowed asks the guard directly before an attempt's first byte is written: the connection may have taken its time to come up, and
+// this process to run.
+func (f *Fleet) allowed(a *attempt, asked guard.Attempt) conn.Ending {
+	asked.Now, asked.Timeout = guard.Target{Worker: a.worker.uid, Entry: a.worker.entry}, a.inv.GivenUp
+	why := f.Guard.Send(asked)
+	if why == "" {
+		return conn.Open
 	}
-	switch at := f.loop.Clock(); {
-	case a.inv.GivenUp-at < leastTold:
-		return f.stop(stoppedTimeout, conn.NotSent)
-	case until > 0 && at >= until:
-		return f.stop(stoppedWindow, conn.NotSent)
+	stop, expected := stops[why]
+	if !expected {
+		stop.why, stop.ending = stoppedViolation, conn.NotSent
 	}
-	return conn.Open
-}
-
-// stop counts an attempt that the last check has stopped.
-func (f *Fleet) stop(why string, e conn.Ending) conn.Ending {
-	f.Counts.Stopped[why]++
-	return e
+	f.Counts.Stopped[stop.why]++
+	return stop.ending
 }
 
 // earlier is the earlier of two times, of which the second may be none.
@@ -144,6 +149,7 @@
 	if a.taken && (e == conn.Cancelled || e == conn.TimedOut) && f.site.Deployment.Allowed.Cancel {
 		f.cancel(a)
 	}
+	f.Guard.Ended(a.inv.Inv, a.number, e.String(), !e.NeverRan())
 	f.Counts.Ended[e.String()]++
 	f.Event(dispatch.Outcome{Inv: a.inv.Inv, Worker: a.worker.entry.Worker, Forward: a.number, Result: e.Result(),
 		Load: load, Closed: !f.Owed(a.inv.Inv)})
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -10,6 +10,7 @@
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
 	"stoatweir/internal/discovery"
+	"stoatweir/internal/guard"
 	"stoatweir/internal/http1"
 	"stoatweir/internal/settings"
 )
@@ -47,6 +48,7 @@
 type Counts struct {
 	Sent, Probes, Cancels, News, Strange, Dialled int
 	Ended, Answered                               map[string]int // attempts and probes, by how they ended
+	Changes                                       map[string]int // of workers in the list, such as "ready to draining"
 	Stopped                                       map[string]int // attempts that the last check before the first byte stopped, by reason
 }
 
@@ -57,6 +59,7 @@
 	Owed    func(dispatch.InvID) bool               // whether its client still waits for an answer
 	Waits   func(dispatch.InvID) bool               // the same at the moment of a send, with the kernel asked
 	Wrote   func()                                  // an attempt has been written whole
+	Guard   *guard.Guard                            // asked before each first byte
 	Counts  Counts
 
 	loop     *conn.Loop
@@ -79,14 +82,19 @@
 
 // NewFleet knows no workers yet.
 func NewFleet(loop *conn.Loop, site settings.Site, share *conn.Share) *Fleet {
-	return &Fleet{loop: loop, site: site, share: share, lasted: site.ConnIdle, workers: map[dispatch.WorkerID]*worker{},
+	f := &Fleet{loop: loop, site: site, share: share, lasted: site.ConnIdle, workers: map[dispatch.WorkerID]*worker{},
 		byUID: map[string]*worker{}, byNumber: map[attemptKey]*attempt{}, byName: map[workKey]*attempt{},
-		Counts: Counts{Ended: map[string]int{}, Answered: map[string]int{}, Stopped: map[string]int{}}}
+		Guard:  guard.New(loop.Clock),
+		Counts: Counts{Ended: map[string]int{}, Answered: map[string]int{}, Changes: map[string]int{}, Stopped: map[string]int{}}}
+	f.Guard.ClientWaits = func(inv dispatch.InvID) bool { return f.Waits(inv) }
+	return f
 }
 
 // Retune follows newer settings.
 func (f *Fleet) Retune(site settings.Site) { f.site = site }
 
+var standings = map[dispatch.Standing]string{dispatch.Gone: "gone", dispatch.Ready: "ready", dispatch.Draining: "draining"}
+
 // List follows the list.
 func (f *Fleet) List(list discovery.List) {
 	named := map[string]bool{}
@@ -101,6 +109,14 @@
 			w.shutIdle()
 		}
 		w.reports = w.reports && e.StartedAt == w.entry.StartedAt
+		if known := w.entry; known.Standing != e.Standing {
+			f.Counts.Changes[standings[known.Standing]+" to "+standings[e.Standing]]++
+		} else if known.Start != e.Start {
+			f.Counts.Changes["restarted"]++
+		}
+		if e.Restarted {
+			f.Guard.Started(e.UID, e.StartedAt)
+		}
 		w.entry = e.Entry
 		w.stand(e.Standing)
 	}
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/netip"
 	"net/textproto"
@@ -16,6 +17,7 @@
 	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
 	"stoatweir/internal/discovery"
+	"stoatweir/internal/guard"
 	"stoatweir/internal/http1"
 	"stoatweir/internal/settings"
 )
@@ -123,7 +125,9 @@
 		Entry: dispatch.Entry{Worker: s.id, Standing: standing}}}})
 }
 
+// job is a request that the guard knows, and lets out as often as a test likes.
 func (s *stage) job(inv dispatch.InvID) *Invocation {
+	s.Guard.Take(inv, guard.Terms{MostOut: math.MaxInt})
 	return &Invocation{Inv: inv, ID: fmt.Sprint("id", inv), Method: "POST", Target: "/render/7f", Body: []byte(" body"),
 		Fields: []http1.Field{{Name: "X-Call-Id", Value: fmt.Sprint("id", inv)}}, GivenUp: s.loop.Now() + 5*time.Second}
 }
