A soak of real processes under overlapping troubles, judged by what their peers see

Each scheduler's workers and list stand behind a fault proxy.

Shims for system calls and the wall clock are built in with the tag soak alone; for them connections' own system calls, accepting and the watcher's wall clock are replaceable now (conn.System, Door.Accept, Watcher.Wall). The released program is as before.

--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -135,6 +135,7 @@
 		})
 		s.road.Told = func(t dispatch.Told) { s.events = append(s.events, t) }
 	}
+	installShims(s)
 	log.Info("deployment: ", node.Site.Shape)
 	return s, nil
 }
--- /dev/null
+++ b/cmd/stoatweir/soak_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"stoatweir/internal/lab/soak"
+)
+
+var (
+	soakSeeds      = flag.Int("soak.seeds", 2, "seeds of TestSoak")
+	soakFirst      = flag.Int64("soak.first", 1, "the first of them")
+	soakSchedulers = flag.Int("soak.schedulers", 8, "processes of a play of TestSoak")
+	soakSpan       = flag.Duration("soak.span", 6*time.Second, "for how long troubles begin")
+	soakOnly       = flag.String("soak.only", "", "troubles that may be played, with commas between; empty: all")
+	soakKeep       = flag.String("soak.keep", "", "a folder for the logs; empty: they go unless a rule is broken")
+)
+
+// soakProgram builds the program with the shims of the soak.
+func soakProgram(t *testing.T, dir string) string {
+	t.Helper()
+	path := filepath.Join(dir, "stoatweir-soak")
+	if text, err := exec.Command("go", "build", "-tags", "soak", "-o", path, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, text)
+	}
+	return path
+}
+
+// TestSoak plays real processes while troubles overlap, and holds what their peers see against the rules. The same seed draws the same
+// troubles; what meets what in the end is the machine's doing.
+func TestSoak(t *testing.T) {
+	dir := t.TempDir()
+	program := soakProgram(t, dir)
+	for n := range int64(*soakSeeds) {
+		seed := *soakFirst + n
+		keep := *soakKeep
+		if keep == "" {
+			keep = dir
+		}
+		logs, err := os.MkdirTemp(keep, "soak")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := soak.Config{Program: program, Dir: logs, Seed: seed, Schedulers: *soakSchedulers, Workers: *soakSchedulers, Clients: 3, Span: *soakSpan}
+		if *soakOnly != "" {
+			c.Only = strings.Split(*soakOnly, ",")
+		}
+		r, err := soak.Run(context.Background(), c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("seed %d: %d attempts, %d clients left, ready within %v, answers %v, logs in %s", seed, r.Attempts, r.Leaves, r.Ready, r.Answers, logs)
+		for _, p := range r.Troubles {
+			t.Logf("%8v %s: %s", p.At, p.Name, p.On)
+		}
+		if r.Answers["200"] == 0 || r.Attempts == 0 {
+			t.Errorf("seed %d: nothing was served", seed)
+		}
+		for _, f := range r.Finds {
+			t.Errorf("seed %d: %s", seed, f)
+		}
+	}
+}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -68,8 +68,9 @@
 	News    func(workers.News) bool                    // of a worker; false: of nothing that is known here
 	Served  func(time.Duration)                        // how long a client waited for its worker's result
 	Manner  func() life.Manner
-	Report  func() []byte          // the counters, for people
-	History func(id string) []byte // what is known of a request
+	Accept  func(net.Listener) (net.Conn, error) // lets the next connection in, as the listener does unless it is set
+	Report  func() []byte                        // the counters, for people
+	History func(id string) []byte               // what is known of a request
 	// The other process that serves at our address, while there is one. Relay passes news on that is for nobody here, and
 	// tells later whether it was heard there; false: there is nobody to ask. Foreign: an id is in hand there. Holds: one is
 	// here.
@@ -120,7 +121,7 @@
 func New(loop *conn.Loop, site settings.Site, share *conn.Share, book *ledger.Ledger) *Door {
 	d := &Door{loop: loop, share: share,
 		inHand: map[dispatch.InvID]*inHand{}, ids: map[string]bool{}, visits: map[*visit]struct{}{},
-		more: make(chan struct{}, 1), Ledger: book, Ended: map[string]int{}}
+		more: make(chan struct{}, 1), Ledger: book, Ended: map[string]int{}, Accept: net.Listener.Accept}
 	d.Retune(site)
 	share.Freed = func() {
 		if d.waits {
@@ -162,7 +163,7 @@
 	d.listener, d.hears = l, true
 	go func() {
 		for range d.more { // the goroutine ends with the process
-			nc, err := l.Accept()
+			nc, err := d.Accept(l)
 			if err != nil {
 				nc = nil // a client that left while it waited, or the end: the loop says what follows
 			}
--- a/internal/conn/peek.go
+++ b/internal/conn/peek.go
@@ -17,7 +17,7 @@
 		left = n == 0 && err == nil || errors.Is(err, unix.ECONNRESET)
 		if n > 0 { // its end may be behind bytes that nobody has read
 			ends := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-			_, err := unix.Poll(ends, 0)
+			_, err := System.Poll(ends, 0)
 			left = err == nil && ends[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 		}
 	})
@@ -43,7 +43,7 @@
 		return
 	}
 	raw.Control(func(fd uintptr) {
-		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, err := System.Peek(int(fd), make([]byte, 1))
 		look(int(fd), n, err)
 	})
 }
--- a/internal/conn/receive.go
+++ b/internal/conn/receive.go
@@ -22,9 +22,9 @@
 func (a *arrivals) take(fd int, b []byte) (n int, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n, err = unix.Read(fd, b)
+	n, err = System.Read(fd, b)
 	for errors.Is(err, unix.EINTR) {
-		n, err = unix.Read(fd, b)
+		n, err = System.Read(fd, b)
 	}
 	a.marked = a.marked || !errors.Is(err, unix.EAGAIN)
 	return n, err
--- a/internal/conn/send.go
+++ b/internal/conn/send.go
@@ -66,9 +66,9 @@
 // writeOnce writes what the socket takes without waiting.
 func writeOnce(raw syscall.RawConn, b []byte) (written int) {
 	raw.Control(func(fd uintptr) {
-		n, err := unix.Write(int(fd), b)
+		n, err := System.Write(int(fd), b)
 		for errors.Is(err, unix.EINTR) {
-			n, err = unix.Write(int(fd), b)
+			n, err = System.Write(int(fd), b)
 		}
 		written = max(0, n)
 	})
@@ -108,7 +108,7 @@
 				err = os.ErrDeadlineExceeded
 				return true
 			}
-			n, failed := unix.Write(int(fd), r.bytes[written:])
+			n, failed := System.Write(int(fd), r.bytes[written:])
 			switch {
 			case failed == nil:
 				written += n
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -45,9 +45,10 @@
 type Watcher struct {
 	Told   func(List)
 	Failed func(why string)
-	Within time.Duration // that the settings give for asking; 0: changes come unasked
-	Chance *rand.Rand    // spreads the calls of schedulers that move together; nil: they don't
-	Calls  int           // watches begun
+	Within time.Duration    // that the settings give for asking; 0: changes come unasked
+	Wall   func() time.Time // the machine's wall clock
+	Chance *rand.Rand       // spreads the calls of schedulers that move together; nil: they don't
+	Calls  int              // watches begun
 
 	loop          *conn.Loop
 	share         *conn.Share
@@ -101,7 +102,7 @@
 // New makes a watcher that has not asked yet. start is when the loop's clock stood at zero.
 func New(loop *conn.Loop, addr string, zones, kinds []string, start time.Time) *Watcher {
 	return &Watcher{loop: loop, share: loop.Share(2), addr: addr, zones: index(zones), kinds: index(kinds), start: start,
-		ids: map[string]dispatch.WorkerID{}, taken: map[dispatch.WorkerID]bool{}}
+		ids: map[string]dispatch.WorkerID{}, taken: map[dispatch.WorkerID]bool{}, Wall: time.Now}
 }
 
 // Zone is the index of a zone's name; one not met yet gets one.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -146,7 +146,10 @@
 	if g.Report == nil {
 		return
 	}
-	v := Violation{Reason: why, Request: id, Worker: worker, History: g.History(id)}
+	v := Violation{Reason: why, Request: id, Worker: worker}
+	if id != 0 {
+		v.History = g.History(id)
+	}
 	if r := g.requests[id]; r != nil {
 		v.ID = r.ID
 	}
