--- a/cmd/stoatweir/soak_test.go
+++ b/cmd/stoatweir/soak_test.go
@@ -17,6 +17,7 @@
 	soakSeeds      = flag.Int("soak.seeds", 2, "seeds of TestSoak")
 	soakFirst      = flag.Int64("soak.first", 1, "the first of them")
 	soakSchedulers = flag.Int("soak.schedulers", 8, "processes of a play of TestSoak")
+	soakClients    = flag.Int("soak.clients", 3, "clients of each")
 	soakSpan       = flag.Duration("soak.span", 6*time.Second, "for how long troubles begin")
 	soakOnly       = flag.String("soak.only", "", "troubles that may be played, with commas between; empty: all")
 	soakKeep       = flag.String("soak.keep", "", "a folder for the logs; empty: they go unless a rule is broken")
@@ -47,7 +48,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c := soak.Config{Program: program, Dir: logs, Seed: seed, Schedulers: *soakSchedulers, Workers: *soakSchedulers, Clients: 3, Span: *soakSpan}
+		c := soak.Config{Program: program, Dir: logs, Seed: seed, Schedulers: *soakSchedulers, Workers: *soakSchedulers, Clients: *soakClients, Span: *soakSpan}
 		if *soakOnly != "" {
 			c.Only = strings.Split(*soakOnly, ",")
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -41,6 +41,7 @@
 
 	loop    *conn.Loop
 	addrs   []netip.AddrPort // by number
+	now     time.Duration    // the moment of what is being taken in
 	me      int
 	epoch   uint64
 	count   uint32
@@ -148,6 +149,7 @@
 // Take hands on what makes sense.
 func (c come) Take() {
 	c.waiting.Add(-1)
+	c.now = c.loop.Now()
 	if told, ok := c.sift(c.from, c.bytes); ok {
 		c.Counts.Heard.Add(1)
 		c.Told(told)
