Starts are reckoned by our own clock, whatever the wall clock does

Cause: Watcher.Parse took boot_ms less the wall clock at the start of the process. After a step back a worker that has just started looks an hour old, that is warm; its next start comes before the last and is none. After a step forward it stays cold for as long as the step. The same mistake in peers: an epoch below the last counted as old, so a scheduler restarted on a clock stepped back was not heard for that long.

A start is reckoned once, against the wall clock as it is now; steps are seen by comparing it with our own clock at each word of the watch. A start is never later than now or before the last one; one that is news right behind a step, or older than all that had to be told, counts as now. Messages: a lower epoch is a new start once the one before was silent for 2 s.

Not mended: a process that starts after a step forward, with a worker that started before it, knows nothing to hold boot_ms against.

--- a/internal/discovery/clock_test.go
+++ b/internal/discovery/clock_test.go
@@ -49,7 +49,7 @@
 	for _, step := range []time.Duration{0, -time.Hour, time.Hour, -5 * time.Second, 5 * time.Second} {
 		s := onSteppedClock(t)
 		s.step = step
-		at, now := s.restart(), time.Since(s.start)
+		at, now := s.restart(), s.loop.Clock()
 		if at > now || at < now-startSlack {
 			t.Errorf("clock stepped by %v: started %v ago", step, now-at)
 		}
@@ -89,9 +89,40 @@
 		s := onSteppedClock(t)
 		boot := s.Wall().UnixMilli()
 		s.step = step
-		at, now := s.hear(false, boot), time.Since(s.start)
+		at, now := s.hear(false, boot), s.loop.Clock()
 		if at > now || at < now-startSlack {
 			t.Errorf("clock stepped by %v: started %v ago", step, now-at)
 		}
 	}
 }
+
+// A start that is told late, behind an outage of discovery, is where the wall clock has it, as long as that was not stepped; one that would
+// lie before what was known at the last word is not believed.
+func TestStartToldLate(t *testing.T) {
+	var now, step time.Duration
+	epoch := time.UnixMilli(1_790_000_000_000)
+	s := newStarts(epoch, func() time.Duration { return now }, func() time.Time { return epoch.Add(now + step) })
+	boot := func(at time.Duration) float64 { return float64(epoch.Add(at).UnixMilli()) }
+	now = 10 * time.Second
+	if at := s.at("s-0", boot(-time.Minute)); at != -time.Minute {
+		t.Error("in the first list: ", at)
+	}
+	s.heard()
+	now = 30 * time.Second
+	for _, want := range []time.Duration{22 * time.Second, 5 * time.Second} { // told late, and long in coming before the outage
+		if at := s.at(want.String(), boot(want)); at != want {
+			t.Errorf("told late: %v, want %v", at, want)
+		}
+	}
+	if at := s.at("s-3", boot(3*time.Second)); at != now {
+		t.Error("before what was known: ", at)
+	}
+	step = time.Minute
+	if at := s.at("s-4", boot(29*time.Second+step)); at != now {
+		t.Error("right behind a step: ", at)
+	}
+	now = time.Minute
+	if at := s.at("s-5", boot(59*time.Second+step)); at != 59*time.Second {
+		t.Error("long behind a step: ", at)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -54,7 +54,7 @@
 	share         *conn.Share
 	addr          string
 	zones, kinds  names
-	start         time.Time
+	starts        *starts
 	rev           uint64
 	ids           map[string]dispatch.WorkerID
 	taken         map[dispatch.WorkerID]bool
@@ -101,8 +101,10 @@
 
 // New makes a watcher that has not asked yet. start is when the loop's clock stood at zero.
 func New(loop *conn.Loop, addr string, zones, kinds []string, start time.Time) *Watcher {
-	return &Watcher{loop: loop, share: loop.Share(2), addr: addr, zones: index(zones), kinds: index(kinds), start: start,
+	w := &Watcher{loop: loop, share: loop.Share(2), addr: addr, zones: index(zones), kinds: index(kinds),
 		ids: map[string]dispatch.WorkerID{}, taken: map[dispatch.WorkerID]bool{}, Wall: time.Now}
+	w.starts = newStarts(start, loop.Clock, func() time.Time { return w.Wall() })
+	return w
 }
 
 // Zone is the index of a zone's name; one not met yet gets one.
@@ -167,8 +169,8 @@
 			Cell: t.PodGroup, Standing: standing}
 		if t.BootMS != 0 {
 			e.Restarted = true
-			e.StartedAt = time.UnixMilli(int64(t.BootMS)).Sub(w.start)
-			e.Start = start(t.UID, t.BootMS)
+			e.StartedAt = w.starts.at(t.UID, t.BootMS)
+			e.Start = startName(t.UID, t.BootMS)
 		}
 		list.Workers = append(list.Workers, Worker{t.UID, t.Endpoint, e})
 	}
@@ -176,8 +178,8 @@
 	return list, nil
 }
 
-// start names one start of a worker alike at all schedulers: its address may differ, and so does its time here.
-func start(uid string, bootMS float64) uint64 {
+// startName names one start of a worker alike at all schedulers: its address may differ, and so does its time here.
+func startName(uid string, bootMS float64) uint64 {
 	h := fnv.New64a()
 	fmt.Fprintf(h, "%s %.0f", uid, bootMS)
 	return h.Sum64()
@@ -381,6 +383,7 @@
 				return errors.New("a list is too long")
 			}
 		case empty:
+			n.starts.heard()
 			// Nothing has changed since the version we know. Whoever follows is told once: without a word it would
 			// take the watch for one that never came, and begin another. A next one that has no list yet replaces
 			// none that still tells.
@@ -409,6 +412,7 @@
 	if err != nil {
 		return err
 	}
+	n.starts.heard() // behind it: its starts are held against the word before
 	if now := n.Watcher.rev; n != n.next && list.Form == dispatch.ListDelta && now < before {
 		// Whoever tells this knows less than we do: its changes could bring back a worker that has gone.
 		return fmt.Errorf("changes go back from version %d to %d", before, now)
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -125,7 +125,10 @@
 func (x *proxy) cameAt(peer net.Addr) time.Time {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.came[peer.String()]
+	if at, known := x.came[peer.String()]; known {
+		return at
+	}
+	return time.Now() // its connection has ended meanwhile
 }
 
 // move copies one way until that ends, whatever the reason, the first bytes after a while. A reset goes on as one. Under a name it notes when bytes come.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -20,6 +20,9 @@
 	// So many datagrams may wait to go out, and to come in, for each scheduler; more are dropped, as old news of forwards is
 	// worth nothing. One told to all of them, and one from each of them, always fit.
 	queuedEach, queuedLeast = 4, 256
+	// An epoch is a start by the wall clock, which may be stepped back between two of them: a lower one is a later start if the one before
+	// has been silent for longer than a datagram is on its way.
+	epochSilence = 2 * time.Second
 	// Another process may still hold the address after a restart: without it nothing is told, and the rest goes on.
 	bindAgain = time.Second
 )
@@ -55,8 +58,9 @@
 // sender is what was last heard of another scheduler.
 type sender struct {
 	epoch uint64
-	last  uint32 // the highest count
-	seen  uint64 // and which of the 64 up to it
+	last  uint32        // the highest count
+	heard time.Duration // when that was
+	seen  uint64        // and which of the 64 up to it
 }
 
 type datagram struct {
@@ -174,11 +178,11 @@
 	}
 	epoch, count, s := binary.BigEndian.Uint64(b[3:]), binary.BigEndian.Uint32(b[11:]), r.senders[number]
 	switch ahead := count - s.last; {
-	case epoch < s.epoch:
+	case epoch < s.epoch && r.now < s.heard+epochSilence:
 		r.Counts.Old.Add(1)
 		return told, false
-	case epoch > s.epoch:
-		s = sender{epoch, count, 1}
+	case epoch != s.epoch:
+		s = sender{epoch: epoch, last: count, seen: 1}
 	case ahead == 0 || ahead > 1<<31 && (-ahead >= 64 || s.seen>>-ahead&1 == 1):
 		r.Counts.Old.Add(1)
 		return told, false
@@ -187,6 +191,7 @@
 	default:
 		s.seen, s.last = s.seen<<min(ahead, 64)|1, count
 	}
+	s.heard = r.now
 	r.senders[number] = s
 	return dispatch.Told{From: number, Notes: notes}, true
 }
