What our own machine can't connect is tried again, and is no word on the worker

Cause: conn.dialled made every error of connect but ECONNREFUSED and ECONNRESET a connect timeout, which is Unreachable to the module and a missed probe: a second without a port sets every worker aside, for longer each time. The same mistake stood guarded against for descriptors alone (NoDescriptor).

Change: a new ending, local error, for what our own machine says; it maps to Full, as the want of a descriptor does. The exchange dials again each 20 ms inside the time that a connection has. The list of endings in the tests has one line more.

--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -92,6 +92,7 @@
 	// succeeded 0
 	// timed out 3
 	// cancelled 6
+	// local error 2
 	// not sent 7
 }
 
--- a/internal/conn/ending.go
+++ b/internal/conn/ending.go
@@ -30,18 +30,19 @@
 	Succeeded                       // the worker's result is there
 	TimedOut                        // we stopped waiting at the client timeout
 	Cancelled                       // we gave it up before
+	LocalError                      // our own machine could not make it: no port, no buffer, no descriptor, no way out
 	NotSent                         // the client had its answer, or its window had passed, before it could go out
 )
 
 // results is the one place where endings become what the module is told. Only what proves that nothing has run may
-// stand beside Full, Unreachable or NotSent: all else counts as having run. Our own want of descriptors is no word on the
+// stand beside Full, Unreachable or NotSent: all else counts as having run. What our own machine has not got is no word on the
 // worker, which Unreachable would set aside.
 var results = [...]dispatch.Result{
 	Open: dispatch.TimedOut, Refused: dispatch.Unreachable, ConnectTimeout: dispatch.Unreachable,
 	NoDescriptor: dispatch.Full, WorkerUnavailable: dispatch.Unreachable, NotWritten: dispatch.Unreachable,
 	Closed: dispatch.Unfit, Reset: dispatch.Broken, Stale: dispatch.Dropped, Stalled: dispatch.TimedOut, Malformed: dispatch.Failed,
 	Rejected: dispatch.Full, Returned: dispatch.Full, WorkerError: dispatch.Failed, BadRequest: dispatch.Unfit, Lost: dispatch.Broken,
-	Succeeded: dispatch.Succeeded, TimedOut: dispatch.TimedOut, Cancelled: dispatch.Cancelled, NotSent: dispatch.NotSent,
+	Succeeded: dispatch.Succeeded, TimedOut: dispatch.TimedOut, Cancelled: dispatch.Cancelled, LocalError: dispatch.Full, NotSent: dispatch.NotSent,
 }
 
 // Result is the module's word for the ending of a forward or a probe.
@@ -66,12 +67,21 @@
 }
 
 var names = [...]string{"open", "refused", "connect timeout", "no descriptor", "worker unavailable", "not written", "closed", "reset",
-	"stale", "stalled", "malformed", "rejected", "returned", "worker error", "bad request", "lost", "succeeded", "timed out", "cancelled", "not sent"}
+	"stale", "stalled", "malformed", "rejected", "returned", "worker error", "bad request", "lost", "succeeded", "timed out", "cancelled", "local error", "not sent"}
 
 func (e Ending) String() string { return names[e] }
 
+// ownErrors are those by which our own machine says that it can't connect to anybody now.
+var ownErrors = []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN, syscall.ENOBUFS, syscall.ENOMEM, syscall.EMFILE, syscall.ENFILE,
+	syscall.EAGAIN, syscall.EINTR, syscall.EPERM, syscall.EACCES}
+
 // dialled tells how an attempt to connect has failed.
 func dialled(err error) Ending {
+	for _, own := range ownErrors {
+		if errors.Is(err, own) {
+			return LocalError
+		}
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
 		return Refused
 	}
--- a/internal/workers/connection.go
+++ b/internal/workers/connection.go
@@ -1,7 +1,6 @@
 package workers
 
 import (
-	"slices"
 	"time"
 
 	"stoatweir/dispatch"
@@ -185,9 +184,8 @@
 	switch {
 	case x == nil:
 		c.worker.remove(c)
-	case x.connection == nil && len(x.dialling) > 1 && e == conn.ConnectTimeout: // another may come up
+	case x.connection == nil && f.anotherDial(c, e):
 		c.exchange = nil
-		x.dialling = slices.DeleteFunc(x.dialling, func(other *connection) bool { return other == c })
 	default:
 		c.finish(nil, e)
 	}
--- a/internal/workers/exchange.go
+++ b/internal/workers/exchange.go
@@ -1,6 +1,8 @@
 package workers
 
 import (
+	"time"
+
 	"stoatweir/internal/conn"
 	"stoatweir/internal/http1"
 )
@@ -16,6 +18,7 @@
 	connection *connection   // that it goes over
 	dialling   []*connection // that come up for it, while there is none
 	redial     *conn.Alarm   // until one more is dialled
+	dialUntil  time.Duration // connections for it may come up
 }
 
 // written is called where it shows that the last byte has been written, as often as it shows.
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -18,6 +18,8 @@
 	// dialled. Whichever comes up first has the request; the others are kept, as their price has been paid.
 	redialPart = 5
 	dialsMost  = 3
+	// localAgain is how long another dial waits after one that our own machine could not make.
+	localAgain = 20 * time.Millisecond
 	// redialRoom descriptors are left for those that have no connection on its way.
 	redialRoom = 8
 )
@@ -45,19 +47,43 @@
 		x.done(nil, conn.NoDescriptor)
 		return false
 	}
-	f.dial(w, x, f.loop.Now()+f.site.ConnTimeout)
+	x.dialUntil = f.loop.Now() + f.site.ConnTimeout
+	f.dial(w, x)
+	return true
+}
+
+// anotherDial tells whether another connection may come up for the exchange of one that has not.
+func (f *Fleet) anotherDial(c *connection, e conn.Ending) bool {
+	x := c.exchange
+	x.dialling = slices.DeleteFunc(x.dialling, func(other *connection) bool { return other == c })
+	switch e {
+	case conn.ConnectTimeout:
+		return len(x.dialling) > 0
+	case conn.LocalError:
+		return len(x.dialling) > 0 || f.dialAgain(c.worker, x)
+	}
+	return false
+}
+
+// dialAgain dials once more after a while where our own machine could not, as that may be over soon. False: the time for it is up.
+func (f *Fleet) dialAgain(w *worker, x *exchange) bool {
+	if f.loop.Now()+localAgain >= x.dialUntil {
+		return false
+	}
+	x.redial.Stop()
+	x.redial = f.loop.After(localAgain, func() { f.dial(w, x) })
 	return true
 }
 
 // dial opens one more connection for an exchange. All have the time of the first.
-func (f *Fleet) dial(w *worker, x *exchange, until time.Duration) {
+func (f *Fleet) dial(w *worker, x *exchange) {
 	f.Counts.Dialled++
 	c := &connection{fleet: f, worker: w, endpoint: w.endpoint, parser: http1.Parser{Answers: true}, exchange: x}
-	c.socket = f.share.Dial(w.endpoint, until-f.loop.Now(), c)
+	c.socket = f.share.Dial(w.endpoint, x.dialUntil-f.loop.Now(), c)
 	if x.dialling = append(x.dialling, c); len(x.dialling) < dialsMost {
 		x.redial = f.loop.After(f.site.ConnTimeout/redialPart, func() {
 			if f.share.Room() > redialRoom && w.entry.Standing == dispatch.Ready && w.endpoint == c.endpoint {
-				f.dial(w, x, until)
+				f.dial(w, x)
 			}
 		})
 	}
