Lots follow a changed number of schedulers; lists up to 4 MiB; parcels keep their operation

Causes: (1) lots are drawn when a worker's start is first listed, among the schedulers of then; SIGHUP changed the number, and two of the old and two of the new ones each had a third of the budget. (2) A list was bound to 1 MiB, which 3,200 indented entries with long names pass: the watch failed for ever. (3) service.retune asked which operations are under way of s.invs alone; what is on its way to a successor is in bond.passed.

Changes: Dispatcher.reappoint draws lots of warming workers anew; the bound is 4 MiB; bond.onTheWay counts as under way.

--- a/cmd/stoatweir/pass.go
+++ b/cmd/stoatweir/pass.go
@@ -82,6 +82,19 @@
 	})
 }
 
+// onTheWay lists the invocations that have been passed on and may come back.
+func (b *bond) onTheWay() (all []*tracked) {
+	if b == nil {
+		return nil
+	}
+	for _, p := range b.passed {
+		if p.j != nil {
+			all = append(all, p.j)
+		}
+	}
+	return all
+}
+
 // may tells whether an invocation can be passed as it stands: the module has all that has happened, and no forward is on
 // its way.
 func (s *service) may(inv dispatch.InvID) bool {
--- a/cmd/stoatweir/retune.go
+++ b/cmd/stoatweir/retune.go
@@ -59,6 +59,9 @@
 	for _, j := range s.invs {
 		under[j.operation] = true
 	}
+	for _, j := range s.bond.onTheWay() {
+		under[j.operation] = true
+	}
 	site, from := s.site.Retune(newer, func(index int) bool { return !under[index] })
 	onSockets(&site.Deployment)
 	site.Deployment.Allowed.Tell = site.Deployment.Allowed.Tell && s.road != nil
--- a/cmd/stoatweir/successor.go
+++ b/cmd/stoatweir/successor.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -292,12 +293,7 @@
 
 // passing tells whether an invocation is on its way to the other process.
 func (b *bond) passing(id string) bool {
-	for _, p := range b.passed {
-		if p.j != nil && p.j.ID == id {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(b.onTheWay(), func(j *tracked) bool { return j.ID == id })
 }
 
 // foreign tells whether an id is in hand at the other process.
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -86,9 +86,13 @@
 	}
 }
 
+// reappoint finds all keepers anew, and our lots for cold workers, which are drawn among all schedulers.
 func (d *Dispatcher) reappoint() {
 	d.keeps = nil
 	for at := range d.list {
+		if p := &d.list[at]; p.Restarted && d.now < p.StartedAt+d.warmAfter {
+			p.lot = d.lot(p.Start)
+		}
 		d.appoint(at)
 	}
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -16,7 +16,9 @@
 	"stoatweir/internal/http1"
 )
 
-const maxValue = 1 << 20 // of a watch, whatever the peer sends
+// maxValue bounds one list of a watch, whatever the peer sends: 3,200 workers have 1,300 bytes each, several times what an entry takes that
+// is indented and full of long names.
+const maxValue = 4 << 20
 
 // Worker is one entry: where it listens as seen from here, and what the module is told of it.
 type Worker struct {
