--- a/cmd/stoatweir/log_test.go
+++ b/cmd/stoatweir/log_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"testing"
 	"time"
 )
 
@@ -41,3 +42,13 @@
 	// 3 lines were dropped
 	// last
 }
+
+// Other goroutines may log while the program ends.
+func TestLogBehindTheEnd(t *testing.T) {
+	l := newLines(io.Discard)
+	l.close(time.Second)
+	if _, err := l.Write([]byte("the administrators' address is taken\n")); err != nil {
+		t.Error(err)
+	}
+	l.close(time.Second)
+}
