Lines behind the end go nowhere; what syncs have not made to last is not told as done

Causes: (1) lines.close closed the channel that other goroutines log to. (2) Store.Compact gave back a failed sync of the folder, Append ignored it, and mend looked at the log's length alone; the sync behind a cut end was not looked at either, so that a refused change could come back. (3) A follower reads what is written and not yet synced; Follow went on from there by the length of the log.

Changes: the channel stays open, an end is told apart. The store remembers names and an end that are not synced, and tells nothing as done before they are. A follower checks that its last record still stands, else it reads the log anew; the loop then takes over a revision that is not newer, and those that are gone leave the gate before others come.

--- a/cmd/stoatweir/hosting.go
+++ b/cmd/stoatweir/hosting.go
@@ -134,24 +134,29 @@
 func (h *hosting) seat(all []tenants.Tenant, revision uint64) {
 	now, listed := h.loop.Now(), map[string]bool{}
 	for _, t := range all {
-		if listed[t.Name] = true; h.known[t.Name] != t.Revision {
-			h.gate.Put(now, t)
-			h.known[t.Name] = t.Revision
-		}
+		listed[t.Name] = true
 	}
-	for name := range h.known {
+	for name := range h.known { // first: one that was never made to last may have had a newer one's handle
 		if !listed[name] {
 			h.gate.Remove(now, name)
 			delete(h.known, name)
 		}
 	}
+	for _, t := range all {
+		if h.known[t.Name] != t.Revision {
+			h.gate.Put(now, t)
+			h.known[t.Name] = t.Revision
+		}
+	}
 	h.all, h.revision = all, revision
 }
 
-// take follows a newer revision.
+// take follows what has been published. A revision that is not newer takes the place of changes that were read and then refused.
 func (h *hosting) take(all []tenants.Tenant, revision uint64) {
 	if revision <= h.revision {
-		return
+		for name := range h.known {
+			h.known[name] = 0
+		}
 	}
 	h.seat(all, revision)
 	h.retune(h.base)
--- a/cmd/stoatweir/log.go
+++ b/cmd/stoatweir/log.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"time"
 )
 
@@ -10,19 +11,32 @@
 // for it. What does not fit is dropped and counted.
 type lines struct {
 	waiting chan []byte
+	over    chan struct{} // is closed at the end; lines that come behind it go nowhere
+	ending  sync.Once
 	done    chan struct{}
 	dropped int // of the loop alone
 }
 
 func newLines(to io.Writer) *lines {
-	l := &lines{waiting: make(chan []byte, 256), done: make(chan struct{})}
-	go func() {
-		defer close(l.done)
-		for line := range l.waiting {
+	l := &lines{waiting: make(chan []byte, 256), over: make(chan struct{}), done: make(chan struct{})}
+	go l.pass(to)
+	return l
+}
+
+// pass writes lines until the end, and what waits then.
+func (l *lines) pass(to io.Writer) {
+	defer close(l.done)
+	for {
+		select {
+		case line := <-l.waiting:
 			to.Write(line)
+		case <-l.over:
+			for len(l.waiting) > 0 {
+				to.Write(<-l.waiting)
+			}
+			return
 		}
-	}()
-	return l
+	}
 }
 
 // Write takes a line, or drops it.
@@ -40,9 +54,9 @@
 	return len(line), nil
 }
 
-// close waits a while for what is left.
+// close waits a while for what is left. Others may go on logging meanwhile, and after it.
 func (l *lines) close(within time.Duration) {
-	close(l.waiting)
+	l.ending.Do(func() { close(l.over) })
 	select {
 	case <-l.done:
 	case <-time.After(within):
--- a/internal/tenants/store/store.go
+++ b/internal/tenants/store/store.go
@@ -138,7 +138,23 @@
 	log    File
 	end    int64 // of what is whole
 	since  int   // changes after the snapshot
+	last   span  // the last record that was read or written
 	writes bool
+	// What has been done to the disk and may not last: the names of files, and the end of the log behind a change that was refused.
+	namesUnsynced, endUnsynced bool
+}
+
+// span is a run of bytes of the log, with their checksum.
+type span struct {
+	from, to int64
+	sum      uint32
+}
+
+// stands tells whether the bytes are there still, and the same.
+func (s span) stands(log File) bool {
+	b := make([]byte, s.to-s.from)
+	n, err := log.ReadAt(b, s.from)
+	return n == len(b) && (err == nil || errors.Is(err, io.EOF)) && crc32.Checksum(b, table) == s.sum
 }
 
 // Open reads the store. Where another process writes, or nothing can be written, this one follows: Failed says why.
@@ -173,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	s.log, s.end, s.since, s.Book = log, 0, 0, tenants.NewBook()
+	s.begin(log)
 	if _, err = s.catchUp(); err != nil {
 		return err
 	}
@@ -186,8 +202,9 @@
 		err = log.Truncate(s.end)
 	}
 	if err == nil && s.end == 0 {
+		s.namesUnsynced = true
 		if err = s.append(record{Schema: schema, Snapshot: ptr(s.Book.Snapshot())}); err == nil {
-			err = s.files.Sync()
+			err = s.syncNames()
 		}
 	}
 	if err != nil {
@@ -196,6 +213,11 @@
 	return nil
 }
 
+// begin forgets what was read: all of a log is to be read.
+func (s *Store) begin(log File) {
+	s.log, s.end, s.since, s.last, s.Book = log, 0, 0, span{}, tenants.NewBook()
+}
+
 func ptr[T any](v T) *T { return &v }
 
 // catchUp reads what the log has beyond what is known, and tells whether that was anything.
@@ -237,6 +259,7 @@
 			s.since++
 		}
 		news = true
+		s.last = span{s.end, s.end + int64(used), crc32.Checksum(b[:used], table)}
 		s.end += int64(used)
 		b = b[used:]
 	}
@@ -265,7 +288,7 @@
 	}
 	s.Book.Apply(c)
 	if s.since++; s.since >= compactAfter {
-		s.Compact() // a failure leaves the old log, which is whole
+		s.Compact() // a failure leaves a log that is whole, and its name
 	}
 	return nil
 }
@@ -280,12 +303,33 @@
 	}
 	if err != nil {
 		// What may stand there now was never told as done. Were it left, the next record would follow a torn one.
-		if s.log.Truncate(s.end) == nil {
-			s.log.Sync()
-		}
+		s.endUnsynced = true
+		s.cutEnd()
+		return err
+	}
+	s.last = span{s.end, s.end + int64(len(b)), crc32.Checksum(b, table)}
+	s.end = s.last.to
+	return nil
+}
+
+// cutEnd cuts off what stands behind the last whole record, and has that last: refused is refused, also after a loss of power.
+func (s *Store) cutEnd() error {
+	if err := s.log.Truncate(s.end); err != nil {
 		return err
 	}
-	s.end += int64(len(b))
+	if err := s.log.Sync(); err != nil {
+		return err
+	}
+	s.endUnsynced = false
+	return nil
+}
+
+// syncNames has the names of files last as they are.
+func (s *Store) syncNames() error {
+	if err := s.files.Sync(); err != nil {
+		return err
+	}
+	s.namesUnsynced = false
 	return nil
 }
 
@@ -296,10 +340,11 @@
 		return
 	}
 	size, err := s.log.Size()
-	if err == nil && size != s.end {
-		if err = s.log.Truncate(s.end); err == nil {
-			err = s.log.Sync()
-		}
+	if err == nil && (size != s.end || s.endUnsynced) {
+		err = s.cutEnd()
+	}
+	if err == nil && s.namesUnsynced {
+		err = s.syncNames()
 	}
 	if err == nil && s.end == 0 {
 		err = s.append(record{Schema: schema, Snapshot: ptr(s.Book.Snapshot())})
@@ -332,11 +377,17 @@
 		return err
 	}
 	s.log.Close()
-	s.log, s.end, s.since = fresh, int64(len(b)), 0
-	return s.files.Sync()
+	s.log, s.end, s.since, s.last = fresh, int64(len(b)), 0, span{0, int64(len(b)), crc32.Checksum(b, table)}
+	// After a loss of power the name may stand for the old log: until that can't be, nothing more is told as done.
+	s.namesUnsynced = true
+	if err = s.syncNames(); err != nil {
+		s.Failed = fmt.Errorf("%w: %v", ErrReadOnly, err)
+	}
+	return err
 }
 
-// Follow takes over what the writer has published since. A log that was written anew is read from its beginning.
+// Follow takes over what the writer has published since. A log that was written anew is read from its beginning, and so is one whose last record
+// as we have it is no longer there: its writer could not make it last, and has refused it.
 func (s *Store) Follow() (news bool, err error) {
 	if s.writes {
 		return false, nil
@@ -352,33 +403,36 @@
 	if err != nil {
 		return false, err
 	}
-	old, end, since, book := s.log, s.end, s.since, s.Book
-	same := false
+	old, end, since, last, book := s.log, s.end, s.since, s.last, s.Book
+	same, cut := false, false
 	if old != nil {
 		if o, is := old.(interface{ Same(File) bool }); is {
 			same = o.Same(log)
 		}
 	}
-	if s.log = log; !same {
-		s.end, s.since, s.Book = 0, 0, tenants.NewBook()
+	if cut = same && !s.last.stands(log); cut {
+		before-- // the one that was refused
+	}
+	if s.log = log; !same || cut {
+		s.begin(log)
 	}
 	if _, err = s.catchUp(); err == nil && s.Book.Revision < before {
 		err = fmt.Errorf("%w: revision %d after %d", ErrCorrupt, s.Book.Revision, before)
 	}
 	if err != nil { // the last good state goes on
 		log.Close()
-		s.log, s.end, s.since, s.Book = old, end, since, book
+		s.log, s.end, s.since, s.last, s.Book = old, end, since, last, book
 		return false, err
 	}
 	if old != nil {
 		old.Close()
 	}
-	return s.Book.Revision != before, nil
+	return cut || s.Book.Revision != before, nil
 }
 
 // succeed makes this process the one that writes. Where the log can't be read the lock goes back.
 func (s *Store) succeed() (news bool, err error) {
-	log, end, since, book, failed := s.log, s.end, s.since, s.Book, s.Failed
+	log, end, since, last, book, failed := s.log, s.end, s.since, s.last, s.Book, s.Failed
 	s.log, s.writes, s.Failed = nil, true, nil
 	if err = s.load(); err == nil && s.Book.Revision < book.Revision {
 		err = fmt.Errorf("%w: revision %d after %d", ErrCorrupt, s.Book.Revision, book.Revision)
@@ -388,7 +442,7 @@
 			s.log.Close()
 		}
 		s.files.Unlock(lockName)
-		s.log, s.end, s.since, s.Book, s.Failed, s.writes = log, end, since, book, failed, false
+		s.log, s.end, s.since, s.last, s.Book, s.Failed, s.writes = log, end, since, last, book, failed, false
 		return false, err
 	}
 	if log != nil {
