--- a/internal/clients/pass.go
+++ b/internal/clients/pass.go
@@ -19,6 +19,7 @@
 	Read   []byte
 	News   bool
 	Fresh  bool           // nothing has come over it yet
+	Silent time.Duration  // for so long, of a fresh one
 	Inv    dispatch.InvID // 0: it is idle
 
 	visit  *visit
