A silent client's time goes on through a hand-over

Cause: visit.offer stops the alarm; Door.Inherit set it anew for the full 2.5 s, and Parcel.Back not at all.

Change: a parcel says how long its connection has been silent; visit.limitSilence is the one place that sets the alarm, from when the connection came.

--- a/cmd/stoatweir/pass.go
+++ b/cmd/stoatweir/pass.go
@@ -57,7 +57,7 @@
 		b.number++
 		sent := &parcel{Parcel: p}
 		m := handover.Message{Kind: handover.Pass, Number: b.number, Socket: p.Socket,
-			Pass: &handover.Passed{Read: p.Read, News: p.News, Fresh: p.Fresh}}
+			Pass: &handover.Passed{Read: p.Read, News: p.News, Fresh: p.Fresh, Silent: p.Silent}}
 		if p.Inv != 0 {
 			sent.j = s.invs[p.Inv]
 			sent.record, _ = s.core.Record(p.Inv)
@@ -210,7 +210,7 @@
 		j = &workers.Invocation{ID: l.ID, Method: l.Method, Target: l.Target, Fields: l.Fields, Body: m.Body,
 			GivenUp: s.loop.Now() + l.Left, Effect: s.effect(operation)}
 	}
-	inv, kept := s.door.Inherit(nc, clients.Parcel{Read: m.Pass.Read, News: m.Pass.News, Fresh: m.Pass.Fresh}, j, operation,
+	inv, kept := s.door.Inherit(nc, clients.Parcel{Read: m.Pass.Read, News: m.Pass.News, Fresh: m.Pass.Fresh, Silent: m.Pass.Silent}, j, operation,
 		l.Record.Age)
 	if !kept {
 		nc.Close()
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -186,7 +186,7 @@
 	d.visits[v] = struct{}{}
 	v.c = d.share.Adopt(a.net, v)
 	v.c.Set(conn.Mute) // its first request is on the way: older ones without a word go before it
-	v.slow = d.loop.After(readIn, v.late)
+	v.limitSilence()
 	d.accept()
 }
 
@@ -439,6 +439,12 @@
 	v.c.Quit()
 }
 
+// limitSilence has a connection end that has not brought a whole request in time since it came.
+func (v *visit) limitSilence() {
+	v.slow.Stop()
+	v.slow = v.door.loop.After(v.came+readIn-v.door.loop.Now(), v.late)
+}
+
 // late ends a connection that has taken too long for a request. One that never said a word gets none either: an answer
 // could cross its request.
 func (v *visit) late() {
--- a/internal/clients/pass.go
+++ b/internal/clients/pass.go
@@ -75,6 +75,9 @@
 		return
 	}
 	p := &Parcel{Socket: socket, News: v.brings, Fresh: !v.useful, Inv: v.inv, visit: v}
+	if p.Fresh {
+		p.Silent = d.loop.Now() - v.came
+	}
 	for part := v.c.In.Bytes(); len(part) > 0; part = v.c.In.Bytes() {
 		p.Read = append(p.Read, part...)
 		v.c.In.Drop(len(part))
@@ -118,6 +121,9 @@
 		d.watch(p.Inv, p.job)
 	}
 	v.c.In.Write(p.Read)
+	if p.Fresh {
+		v.limitSilence()
+	}
 	if v.c.Left() { // while it was on the way; what waits on it must not be sent on before that is read
 		v.c.Close()
 		v.Down(v.c, conn.Closed)
@@ -158,13 +164,13 @@
 			return 0, false
 		}
 	}
-	v := &visit{door: d, useful: !p.Fresh, brings: p.News, came: d.loop.Now()}
+	v := &visit{door: d, useful: !p.Fresh, brings: p.News, came: d.loop.Now() - p.Silent}
 	d.visits[v] = struct{}{}
 	v.c = d.share.Inherit(nc, p.Read, v)
 	if j == nil {
 		if v.c.Set(conn.Idle); p.Fresh {
 			v.c.Set(conn.Mute)
-			v.slow = d.loop.After(readIn, v.late)
+			v.limitSilence()
 		}
 		v.Read(v.c)
 		return 0, true
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"syscall"
+	"time"
 )
 
 // Version of the messages. Another one is refused: half an understanding would lose invocations.
@@ -62,6 +63,7 @@
 	Read       []byte          // was read of it and not used
 	News       bool            `json:",omitempty"`
 	Fresh      bool            `json:",omitempty"` // nothing has come over it yet
+	Silent     time.Duration   `json:",omitempty"` // for so long, of a fresh one
 	Invocation json.RawMessage `json:",omitempty"` // as those know it who keep invocations; none: it is idle
 }
 
