--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -372,7 +372,7 @@
 	}
 	idle.Write([]byte("GET /-/counts HTTP/1.1\r\n\r\n"))
 	until(l, "the idle one", func() bool {
-		return d.Counts.Connections == 2 && len(d.visits) == 1 && !d.Busy() && d.share.Used() == 1
+		return d.Counts.Connections == 2 && len(d.connections) == 1 && !d.Busy() && d.share.Used() == 1
 	})
 	l.After(20*time.Millisecond, func() {
 		manner.Yes = false
@@ -380,7 +380,7 @@
 	})
 	l.After(100*time.Millisecond, func() { manner.Shuts = true; d.Follow() })
 	l.After(300*time.Millisecond, func() { manner.Takes = false })
-	until(l, "the idle one's end", func() bool { return manner.Shuts && len(d.visits) == 0 })
+	until(l, "the idle one's end", func() bool { return manner.Shuts && len(d.connections) == 0 })
 	b, _ := io.ReadAll(idle)
 	fmt.Printf("%q\n", b)
 	idle.Close()
@@ -422,19 +422,19 @@
 	silent, half := dial(""), dial("POST /render HTTP/1.1\r\n")
 	until(l, "all three", func() bool {
 		begun := 0
-		for v := range d.visits {
+		for v := range d.connections {
 			if v.brings || v.parser.Started() {
 				begun++
 			}
 		}
-		return len(d.visits) == 3 && begun == 2
+		return len(d.connections) == 3 && begun == 2
 	})
 	manner = life.Manner{Hears: true, Takes: true, Shuts: true, News: true}
 	goes := func(left int) {
 		l.After(0, d.Follow)
 		until(l, "those that go", func() bool {
 			l.After(time.Millisecond, d.Follow)
-			return len(d.visits) == left
+			return len(d.connections) == left
 		})
 		fmt.Println("left:", left)
 	}
@@ -553,11 +553,11 @@
 		}
 		crowd = append(crowd, c)
 	}
-	until(l, "the crowd", func() bool { return len(d.visits) == many })
+	until(l, "the crowd", func() bool { return len(d.connections) == many })
 	if cost := runtime.NumGoroutine() - before; cost > many+10 {
 		t.Errorf("%d silent connections cost %d goroutines", many, cost)
 	}
-	for v := range d.visits {
+	for v := range d.connections {
 		if !v.c.In.Empty() {
 			t.Fatal("a silent connection has a ring")
 		}
@@ -566,7 +566,7 @@
 	for _, c := range crowd {
 		c.Close()
 	}
-	until(l, "the crowd's end", func() bool { return len(d.visits) == 0 && d.share.Used() == 0 })
+	until(l, "the crowd's end", func() bool { return len(d.connections) == 0 && d.share.Used() == 0 })
 	for began := time.Now(); runtime.NumGoroutine() > before+10; time.Sleep(time.Millisecond) {
 		if time.Since(began) > 2*time.Second {
 			t.Fatal("goroutines left:", runtime.NumGoroutine()-before)
--- a/internal/clients/crossings_test.go
+++ b/internal/clients/crossings_test.go
@@ -25,11 +25,11 @@
 // A request whose bytes have been read, and wait in the loop's inbox, is served, whatever ends idle connections at that
 // moment: a stop, the wait for a first word, or want of descriptors.
 func TestReadWhenIdleConnectionsEnd(t *testing.T) {
-	for name, ends := range map[string]func(d *Door, v *visit){
-		"a stop":         func(d *Door, _ *visit) { manner.Shuts = true; d.Follow() },
-		"the first word": func(_ *Door, v *visit) { v.late() },
-		"descriptors":    func(d *Door, _ *visit) { d.share.Resize(0) },
-		"a kept one": func(d *Door, v *visit) {
+	for name, ends := range map[string]func(d *Door, v *connection){
+		"a stop":         func(d *Door, _ *connection) { manner.Shuts = true; d.Follow() },
+		"the first word": func(_ *Door, v *connection) { v.late() },
+		"descriptors":    func(d *Door, _ *connection) { d.share.Resize(0) },
+		"a kept one": func(d *Door, v *connection) {
 			v.c.Set(conn.Idle)
 			d.share.Resize(0)
 		},
@@ -40,8 +40,8 @@
 			near, far := net.Pipe()
 			defer far.Close()
 			accepted{d, near}.Take()
-			var v *visit
-			for v = range d.visits {
+			var v *connection
+			for v = range d.connections {
 				v.came -= firstIn
 			}
 			far.Write([]byte(job)) // has been read when this returns, and the loop does not run
@@ -235,7 +235,7 @@
 		}
 		c.Write([]byte(part))
 		until(l, "half a request", func() bool {
-			for v := range d.visits {
+			for v := range d.connections {
 				return v.parser.Started()
 			}
 			return false
@@ -263,9 +263,9 @@
 				t.Fatal(err)
 			}
 			defer c.Close()
-			until(l, "the connection", func() bool { return len(d.visits) == 1 })
-			var v *visit
-			for v = range d.visits {
+			until(l, "the connection", func() bool { return len(d.connections) == 1 })
+			var v *connection
+			for v = range d.connections {
 				v.came -= firstIn
 				v.c.Set(conn.Idle)
 			}
@@ -310,9 +310,9 @@
 		panic(err)
 	}
 	defer c.Close()
-	until(l, "the connection", func() bool { return len(d.visits) == 1 })
+	until(l, "the connection", func() bool { return len(d.connections) == 1 })
 	d.Follow()
-	fmt.Println("stays:", len(d.visits) == 1, "busy:", d.Busy())
+	fmt.Println("stays:", len(d.connections) == 1, "busy:", d.Busy())
 	c.Write([]byte(job))
 	until(l, "its request", func() bool { return d.InHand() == 1 })
 	d.Throttle(1, 0)
@@ -323,7 +323,7 @@
 	l.After(0, func() {})
 	until(l, "the listener", func() bool { l.After(time.Millisecond, d.Follow); return d.Close() })
 	d.Follow()
-	fmt.Println("nobody comes in:", !d.leave, len(d.visits))
+	fmt.Println("nobody comes in:", !d.leave, len(d.connections))
 	// Output:
 	// stays: true busy: true
 	// job 9b1f POST /render/7f3a?x=1 [{X-Call-Id 9b1f}] body
@@ -408,7 +408,7 @@
 	_, kept := d.Inherit(other, Parcel{}, &workers.Invocation{ID: "9b1f", GivenUp: time.Second}, 0, 0)
 	fmt.Println("the other one keeps it:", kept)
 	p.Back()
-	fmt.Println("in hand:", d.InHand(), len(d.visits))
+	fmt.Println("in hand:", d.InHand(), len(d.connections))
 	// Output:
 	// job 9b1f POST /render/7f3a?x=1 [{X-Call-Id 9b1f}] body
 	// inv 1: operation 0 tenant 1 slots 2 hint 0.25 budget 2.5s
--- a/internal/clients/hosted.go
+++ b/internal/clients/hosted.go
@@ -27,7 +27,7 @@
 }
 
 // unknown answers who shows no credential that is known, ever more slowly on one connection, as guesses cost us time.
-func (v *visit) unknown() { v.refuse(401, http1.Field{Name: "WWW-Authenticate", Value: "Bearer"}) }
+func (v *connection) unknown() { v.refuse(401, http1.Field{Name: "WWW-Authenticate", Value: "Bearer"}) }
 
 // retries tells whether a client says that it has asked before.
 func retries(m *http1.Message) bool {
@@ -36,7 +36,7 @@
 }
 
 // throttled says which limit it was and when to come back.
-func (v *visit) throttled(verdict tenants.Verdict) {
+func (v *connection) throttled(verdict tenants.Verdict) {
 	v.strays = 0
 	fields := []http1.Field{{Name: "X-Limit", Value: string(verdict.Kind)}}
 	if verdict.After > 0 {
--- a/internal/clients/pass.go
+++ b/internal/clients/pass.go
@@ -22,21 +22,21 @@
 	Silent time.Duration  // for so long, of a fresh one
 	Inv    dispatch.InvID // 0: it is idle
 
-	visit  *visit
-	job    *inHand
-	record *guard.Record
+	connection *connection
+	job        *inHand
+	record     *guard.Record
 }
 
 // Offer stops connections that could go to another process, and gives each to pass once nothing moves on it any more; most may
 // be under way. may tells whether an invocation can go as it stands.
 func (d *Door) Offer(most int, may func(dispatch.InvID) bool, pass func(*Parcel)) {
 	under := 0
-	for v := range d.visits {
+	for v := range d.connections {
 		if v.offered {
 			under++
 		}
 	}
-	for v := range d.visits {
+	for v := range d.connections {
 		if under >= most {
 			return
 		}
@@ -50,7 +50,7 @@
 
 // Passable tells whether there is still a connection that could go.
 func (d *Door) Passable() bool {
-	for v := range d.visits {
+	for v := range d.connections {
 		if v.passable() {
 			return true
 		}
@@ -59,11 +59,11 @@
 }
 
 // passable: it is between two requests, or a whole one waits for its answer, and the other process has not refused it.
-func (v *visit) passable() bool {
+func (v *connection) passable() bool {
 	return v.parcel == nil && !v.stays && !v.waits && !v.last && !v.parser.Started()
 }
 
-func (v *visit) offer(may func(dispatch.InvID) bool, pass func(*Parcel)) {
+func (v *connection) offer(may func(dispatch.InvID) bool, pass func(*Parcel)) {
 	d := v.door
 	if v.inv != 0 && !may(v.inv) || !v.passable() || v.c.Unsent() > 0 {
 		v.offered = false
@@ -74,7 +74,7 @@
 	if !stands {
 		return
 	}
-	p := &Parcel{Socket: socket, News: v.brings, Fresh: !v.useful, Inv: v.inv, visit: v}
+	p := &Parcel{Socket: socket, News: v.brings, Fresh: !v.useful, Inv: v.inv, connection: v}
 	if p.Fresh {
 		p.Silent = d.loop.Now() - v.came
 	}
@@ -95,9 +95,9 @@
 
 // Kept: the other process has it.
 func (p *Parcel) Kept() {
-	v, d := p.visit, p.visit.door
+	v, d := p.connection, p.connection.door
 	d.passing--
-	delete(d.visits, v)
+	delete(d.connections, v)
 	d.Ended[endedHanded]++
 	v.c.Close()
 	if p.job != nil {
@@ -108,7 +108,7 @@
 
 // Back: the other process would not have it, and it goes on here.
 func (p *Parcel) Back() {
-	v, d := p.visit, p.visit.door
+	v, d := p.connection, p.connection.door
 	d.passing--
 	v.parcel, v.stays, v.offered = nil, true, false
 	if p.job != nil {
@@ -136,9 +136,9 @@
 // Lost: the other process has died with it on the way, and may have sent it on; or it hangs, and may still find the
 // connection. It ends here for both, so that nobody answers twice and nothing more is sent on.
 func (p *Parcel) Lost() {
-	v := p.visit
+	v := p.connection
 	p.Back()
-	if _, stays := v.door.visits[v]; !stays {
+	if _, stays := v.door.connections[v]; !stays {
 		return
 	}
 	if v.last = true; v.inv != 0 {
@@ -164,8 +164,8 @@
 			return 0, false
 		}
 	}
-	v := &visit{door: d, useful: !p.Fresh, brings: p.News, came: d.loop.Now() - p.Silent}
-	d.visits[v] = struct{}{}
+	v := &connection{door: d, useful: !p.Fresh, brings: p.News, came: d.loop.Now() - p.Silent}
+	d.connections[v] = struct{}{}
 	v.c = d.share.Inherit(nc, p.Read, v)
 	if j == nil {
 		if v.c.Set(conn.Idle); p.Fresh {
@@ -178,7 +178,7 @@
 	d.last++
 	v.inv, j.Inv = d.last, d.last
 	d.Ledger.Took(d.classes[operation])
-	job := &inHand{id: j.ID, class: d.classes[operation], visit: v, came: d.loop.Now() - age, givenUp: j.GivenUp,
+	job := &inHand{id: j.ID, class: d.classes[operation], connection: v, came: d.loop.Now() - age, givenUp: j.GivenUp,
 		seat: seat, ask: tenants.Ask{Bytes: len(j.Body)}}
 	if seat != nil {
 		d.Gate.Inherit(d.loop.Now(), seat, job.ask)
--- a/internal/clients/silent_test.go
+++ b/internal/clients/silent_test.go
@@ -22,7 +22,7 @@
 	began := time.Now()
 	until(l, "the end", func() bool {
 		l.After(time.Millisecond, func() {})
-		return len(d.visits) == 0
+		return len(d.connections) == 0
 	})
 	if took := 2400*time.Millisecond + time.Since(began); took > silentMost {
 		t.Errorf("it has its end %v after it came", took)
@@ -40,7 +40,7 @@
 	}
 	defer c.Close()
 	began := time.Now()
-	until(l, "the connection", func() bool { return len(d.visits) == 1 })
+	until(l, "the connection", func() bool { return len(d.connections) == 1 })
 	var parcel *Parcel
 	d.Manner = func() life.Manner { return life.Manner{Takes: true, Hears: true} }
 	d.Offer(1, nil, func(p *Parcel) { parcel = p })
@@ -52,7 +52,7 @@
 	l.After(0, func() {})
 	until(l, "the end", func() bool {
 		l.After(time.Millisecond, func() {})
-		return len(d.visits) == 0 || time.Since(began) > 4*time.Second
+		return len(d.connections) == 0 || time.Since(began) > 4*time.Second
 	})
 	if took := time.Since(began); took > silentMost {
 		t.Errorf("it has its end %v after it came", took)
