--- /dev/null
+++ b/cmd/stoatweir/start_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"stoatweir/internal/handover"
+	"stoatweir/internal/settings"
+)
+
+// A start at which the machine can't give a socket for a moment waits for it; what will not pass ends it at once, and so does an order to end.
+func TestListenFailsForAMoment(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	t.Cleanup(func() { listenAt = handover.Reuse })
+	for _, c := range []struct {
+		name  string
+		errno syscall.Errno
+		times int
+		told  bool
+		want  error
+	}{
+		{"no address for a moment", syscall.EADDRNOTAVAIL, 5, false, nil}, {"no buffer", syscall.ENOBUFS, 5, false, nil}, {"no descriptor", syscall.ENFILE, 5, false, nil},
+		{"not allowed", syscall.EACCES, 1 << 30, false, syscall.EACCES}, {"told to end meanwhile", syscall.ENFILE, 1 << 30, true, errTold},
+	} {
+		tries := 0
+		listenAt = func(addr string) (net.Listener, error) {
+			if tries++; tries <= c.times {
+				return nil, &net.OpError{Op: "listen", Err: os.NewSyscallError("bind", c.errno)}
+			}
+			return net.Listen("tcp", "127.0.0.1:0")
+		}
+		began := time.Now()
+		at, err := arrive(settings.Node{Name: "n0", Listen: freeAddr(t)}, t.TempDir(), logrus.NewEntry(log), func() bool { return c.told && tries > 3 })
+		if !errors.Is(err, c.want) || c.want == nil && at.listener == nil || time.Since(began) > 2*time.Second {
+			t.Errorf("%s: %v after %d tries and %v", c.name, err, tries, time.Since(began))
+		}
+		if at.listener != nil {
+			at.listener.Close()
+		}
+	}
+}
--- a/cmd/stoatweir/successor.go
+++ b/cmd/stoatweir/successor.go
@@ -45,6 +45,9 @@
 	welcome  handover.Message
 }
 
+// listenAt opens a socket that a successor may share.
+var listenAt = handover.Reuse
+
 // errTold: we have nothing yet, and are to end.
 var errTold = errors.New("told to stop")
 
@@ -77,7 +80,7 @@
 	} else if !errors.Is(why, handover.ErrNobody) {
 		log.Info("a successor will not find us: ", why)
 	}
-	at.listener, err = handover.Reuse(node.Listen)
+	at.listener, err = listenAt(node.Listen)
 	return at, err
 }
 
