A start waits for what the machine has not got for a moment

Cause: arrive and the operators' listener ended the program at the first error of bind or listen; so did one error of reading the configuration.

--- a/cmd/stoatweir/main.go
+++ b/cmd/stoatweir/main.go
@@ -54,13 +54,18 @@
 	log := logrus.New()
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
 		TimestampFormat: "15:04:05.000"})
-	node, err := settings.ReadNode(os.Getenv)
+	told := func() bool { return len(signals) > 0 }
+	node, err := patiently(told, func() (settings.Node, error) { return settings.ReadNode(os.Getenv) })
+	if errors.Is(err, errTold) {
+		log.Info("told to stop before there was a configuration")
+		return
+	}
 	if err != nil {
 		log.WithError(err).Fatal("the configuration can't be used")
 	}
 	runtime.GOMAXPROCS(1) // one core is ours; more threads would only take turns on it
 	entry := log.WithField("node", node.Name)
-	at, err := arrive(node, os.TempDir(), entry, func() bool { return len(signals) > 0 })
+	at, err := arrive(node, os.TempDir(), entry, told)
 	if errors.Is(err, errTold) {
 		entry.Info("told to stop before it was our turn")
 		return
@@ -78,7 +83,7 @@
 	}
 	if node.Admin != "" {
 		operators, err := net.Listen("tcp", node.Admin)
-		if err != nil && !errors.Is(err, syscall.EADDRINUSE) {
+		if err != nil && !isMomentary(err) {
 			log.WithError(err).Fatal("admin: ", node.Admin)
 		}
 		go operate(operators, node.Admin, admin.New(s.calls(), operatorsMost), entry)
--- a/cmd/stoatweir/successor.go
+++ b/cmd/stoatweir/successor.go
@@ -80,7 +80,7 @@
 	} else if !errors.Is(why, handover.ErrNobody) {
 		log.Info("a successor will not find us: ", why)
 	}
-	at.listener, err = listenAt(node.Listen)
+	at.listener, err = patiently(told, func() (net.Listener, error) { return listenAt(node.Listen) })
 	return at, err
 }
 
