Failing test: a reload whose file can't be read for a moment

One ENFILE at the order and the new configuration is never read: where it moves the watch, what the new address tells counts as told 4 s later.

--- a/cmd/stoatweir/start_test.go
+++ b/cmd/stoatweir/start_test.go
@@ -47,3 +47,37 @@
 		}
 	}
 }
+
+// An order to read the configuration anew comes while the machine has no descriptor for it: it is carried out a moment later.
+func TestReloadFailsForAMoment(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	node, err := settings.ParseNode([]byte(`{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1","settings":{"Operations":[
+		{"Name":"render","Effect":"read_like","ClientTimeout":5}]}}`), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := newService(node, logrus.NewEntry(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	reads := 0
+	orders := make(chan os.Signal, 1)
+	go s.reload(orders, func() (settings.Node, error) {
+		if reads++; reads < 4 {
+			return settings.Node{}, &os.PathError{Op: "open", Path: "config.json", Err: syscall.ENFILE}
+		}
+		return node, nil
+	})
+	orders <- syscall.SIGHUP
+	late := s.loop.After(5*time.Second, s.loop.Stop)
+	s.loop.Run(func() {
+		if s.book.Applied+s.book.Rejected > 0 {
+			s.loop.Stop()
+		}
+	})
+	late.Stop()
+	if s.book.Applied != 1 || s.book.Rejected != 0 {
+		t.Errorf("taken over %d times, refused %d times", s.book.Applied, s.book.Rejected)
+	}
+}
