--- a/cmd/stoatweir/retune.go
+++ b/cmd/stoatweir/retune.go
@@ -12,7 +12,7 @@
 // reload reads the configuration anew at each order, beside the loop, which must not wait for a disk.
 func (s *service) reload(orders <-chan os.Signal, read func() (settings.Node, error)) {
 	for range orders {
-		node, err := read()
+		node, err := patiently(func() bool { return false }, read)
 		s.loop.Order(newer{s, node, err})
 	}
 }
