--- a/cmd/stoatweir/service.go
+++ b/cmd/stoatweir/service.go
@@ -404,7 +404,7 @@
 		"turns":      map[string]int64{"count": turns.Count, "worst_us": turns.Worst.Microseconds(), "worst_10s_us": turns.Lately.Microseconds()},
 		"heap_bytes": stored[heapLive], "allocations": stored[heapAllocs], "collections": stored[gcCycles],
 		"peers":       told,
-		"invocations": s.book.Figures(s.fleet.Listed(), s.core.Avoided()), "clients": s.door.Counts, "connections_ended": s.door.Ended, "workers": s.fleet.Counts, "guard": s.fleet.Guard.Counts, "refused": s.givenUp, "watches": s.list.Calls, "in_hand": s.door.InHand(),
+		"invocations": s.book.Figures(s.fleet.Listed(), s.core.Avoided()), "clients": s.door.Counts, "connections_ended": s.door.Ended, "workers": s.fleet.Counts, "guard": s.fleet.Guard.Counts, "refused": s.givenUp, "watches": s.list.Calls, "clock_steps": s.list.ClockSteps(), "in_hand": s.door.InHand(),
 		"out": s.fleet.Out(), "panics": s.panics, "sockets": s.ours.Used() + s.theirs.Used(), "served_us": spread(s.waits),
 		"decided_us": spread(s.thinks),
 	})
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -220,6 +220,9 @@
 	w.present = w.begin(w.rev, word)
 }
 
+// ClockSteps tells how often the wall clock was seen to be stepped.
+func (w *Watcher) ClockSteps() int { return w.starts.steps }
+
 // Stands tells whether a watch is open that has told something.
 func (w *Watcher) Stands() bool { return w.present != nil && w.present.stands }
 
--- a/internal/discovery/starts.go
+++ b/internal/discovery/starts.go
@@ -15,7 +15,7 @@
 	wall      func() time.Time
 	epoch     time.Time // where our own clock stood at zero, by the wall clock as it was at its last step
 	steppedAt time.Duration
-	stepped   bool          // it ever was
+	steps     int           // so often it was
 	heardAt   time.Duration // of the last word of a watch; 0: there was none
 	known     map[string]knownStart
 }
@@ -35,7 +35,8 @@
 	now = s.clock()
 	epoch := s.wall().Round(0).Add(-now)
 	if step := epoch.Sub(s.epoch); step.Abs() >= stepLeast {
-		s.epoch, s.steppedAt, s.stepped = epoch, now, true
+		s.epoch, s.steppedAt = epoch, now
+		s.steps++
 	}
 	return now
 }
@@ -64,7 +65,7 @@
 // doubtful tells whether the wall clock may have been stepped between a start that is news and the word of it. Before the first word of a
 // watch no start is known to be news.
 func (s *starts) doubtful(at, now time.Duration) bool {
-	if s.stepped && now < s.steppedAt+toldAfter {
+	if s.steps > 0 && now < s.steppedAt+toldAfter {
 		return true
 	}
 	return s.heardAt > 0 && at < s.heardAt-toldAfter
