--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -604,18 +604,14 @@
 	k.held = slices.Insert(k.held, at, i)
 }
 
-// expectedCost is what an invocation counts for at a cold worker. All hints may be far off, which only results show: until there
-// is one of its operation, the running time that workers report is the least, and without reports hints count several times.
+// expectedCost is what an invocation counts for at a cold worker. All hints may be far off, which only results show: until there is one of its
+// operation, and no worker has reported how long anything runs, they count several times.
 func (k *desk) expectedCost(j *inv) float64 {
 	measured := k.ops[j.op].rough
-	switch {
-	case len(measured) > 0:
-		return j.work * max(1, measured.mean())
-	case k.all.service > 0:
-		return max(j.work, k.all.service)
-	default:
+	if len(measured) == 0 && k.all.service == 0 {
 		return j.work * unmeasuredTimes
 	}
+	return j.work * max(1, measured.mean())
 }
 
 // rank is weight over size: of what an answer still brings, less once late or beyond its tenant's share.
