--- a/cmd/stoatweir/panic_in_stop_test.go
+++ b/cmd/stoatweir/panic_in_stop_test.go
@@ -8,8 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"stoatweir/internal/settings"
 )
 
@@ -39,17 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	s, err := newService(config, logrus.NewEntry(log))
-	if err != nil {
-		t.Fatal(err)
-	}
-	over := make(chan struct{})
-	go func() { s.run(address{listener: l}); close(over) }()
-	for exchange(node, "GET /-/ready HTTP/1.1\r\n\r\n") != "HTTP/1.1 200 OK " {
-		time.Sleep(time.Millisecond)
-	}
+	s, over := serveAt(t, l, config)
 	request := func(id string) string {
 		return post("/render", "X-Call-Id: "+id+"\r\nX-Call-Class: render\r\nX-Budget: 2.0\r\n", id)
 	}
--- a/cmd/stoatweir/service_test.go
+++ b/cmd/stoatweir/service_test.go
@@ -82,6 +82,23 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", path, head, len(body), body)
 }
 
+// serveAt runs a service, and waits for its yes. over is closed at its end.
+func serveAt(t *testing.T, l net.Listener, config settings.Node) (s *service, over chan struct{}) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s, err := newService(config, logrus.NewEntry(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	over = make(chan struct{})
+	go func() { s.run(address{listener: l}); close(over) }()
+	for exchange(l.Addr().String(), "GET /-/ready HTTP/1.1\r\n\r\n") != "HTTP/1.1 200 OK " {
+		time.Sleep(time.Millisecond)
+	}
+	return s, over
+}
+
 type breaks struct{ *service }
 
 func (b breaks) Take() { b.core, b.events = nil, append(b.events, dispatch.Due{}) }
@@ -116,17 +133,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	s, err := newService(config, logrus.NewEntry(log))
-	if err != nil {
-		t.Fatal(err)
-	}
-	over := make(chan struct{})
-	go func() { s.run(address{listener: l}); close(over) }()
-	for exchange(node, "GET /-/ready HTTP/1.1\r\n\r\n") != "HTTP/1.1 200 OK " {
-		time.Sleep(time.Millisecond)
-	}
+	s, over := serveAt(t, l, config)
 	head := func(id string) string {
 		return "X-Call-Id: " + id + "\r\nX-Call-Class: render\r\nX-Budget: 5.0\r\n"
 	}
--- a/internal/lab/soak/books.go
+++ b/internal/lab/soak/books.go
@@ -38,13 +38,13 @@
 	budget    time.Duration
 	work      time.Duration
 
-	first, last time.Time // it was handed in, and again where its connection had ended
-	left        time.Time // zero: its client stayed
-	answered    time.Time
-	status      int
-	body        string
-	failure     string // why there was no answer
-	attempts    []*attempt
+	last     time.Time // it was handed in, for the last time where its connection had ended
+	left     time.Time // zero: its client stayed
+	answered time.Time
+	status   int
+	body     string
+	failure  string // why there was no answer
+	attempts []*attempt
 }
 
 // attempt is one at a worker.
@@ -145,9 +145,7 @@
 
 func (r *request) sent(at time.Time) {
 	r.books.mu.Lock()
-	if r.last = at; r.first.IsZero() {
-		r.first = at
-	}
+	r.last = at
 	r.books.mu.Unlock()
 }
 
@@ -169,7 +167,7 @@
 	r.books.mu.Unlock()
 }
 
-func (r *request) unanswered(at time.Time, why string, fresh bool) {
+func (r *request) unanswered(at time.Time, why string) {
 	r.books.mu.Lock()
 	r.answered, r.failure = at, why
 	r.books.mu.Unlock()
--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -163,12 +163,12 @@
 	timeout := net.Error(nil)
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
-		r.unanswered(now, "no answer", fresh)
+		r.unanswered(now, "no answer")
 	case !fresh:
 		r.again()
 		return "closed between two requests", true
 	default:
-		r.unanswered(now, "closed: "+err.Error(), fresh)
+		r.unanswered(now, "closed: "+err.Error())
 	}
 	return "unanswered", false
 }
--- a/internal/lab/soak/scheduler.go
+++ b/internal/lab/soak/scheduler.go
@@ -196,16 +196,7 @@
 	before.told = time.Now()
 	s.mu.Unlock()
 	before.cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-before.ended:
-	case <-time.After(stopWithin):
-		p.books.find("F2 stop", fmt.Sprint("n", s.number), "a process that was replaced is still there")
-		s.mu.Lock()
-		before.killed = time.Now()
-		s.mu.Unlock()
-		before.cmd.Process.Kill()
-		<-before.ended
-	}
+	s.awaitEnd(p, before)
 }
 
 func (s *scheduler) signal(signal syscall.Signal) {
@@ -231,11 +222,16 @@
 			s.fronted.Store(false)
 		}
 	})
+	s.awaitEnd(p, r)
+}
+
+// awaitEnd waits for the end of a process that was told to stop, and kills one that is late.
+func (s *scheduler) awaitEnd(p *play, r *run) {
 	select {
 	case <-r.ended:
 	case <-time.After(stopWithin):
 		p.books.find("F2 stop", fmt.Sprint("n", s.number), fmt.Sprintf("still there %v after SIGTERM", stopWithin))
-		s.kill()
+		s.killRun(r)
 	}
 }
 
@@ -246,17 +242,20 @@
 	for _, r := range all {
 		select {
 		case <-r.ended:
-			continue
 		default:
+			s.killRun(r)
 		}
-		s.mu.Lock()
-		r.killed = time.Now()
-		s.mu.Unlock()
-		r.cmd.Process.Kill()
-		<-r.ended
 	}
 }
 
+func (s *scheduler) killRun(r *run) {
+	s.mu.Lock()
+	r.killed = time.Now()
+	s.mu.Unlock()
+	r.cmd.Process.Kill()
+	<-r.ended
+}
+
 // freeze stops the process for a while.
 func (s *scheduler) freeze(length time.Duration) {
 	r := s.last()
