A repeated callback proves nothing about a later attempt at the same worker

A callback names the invocation and the worker, not the attempt. Where a worker had returned an attempt, had got a second one and repeated the first callback because its response was lost, HandleCallback ended the second attempt. attempt.mayHaveRun doubted that for deduplicated and non-idempotent work alone, and even there the attempt's result was dropped.

Change: a returned callback from a worker with an earlier written attempt leaves the present attempt in flight, for every effect class, so neither the dispatcher nor the invariant checker lets another one go there, and its result counts. The dispatcher hears of it (AttemptProgress.MayBeReturned) and treats it like a stalled attempt; where only one attempt may be in flight it cancels it first. Example_returnedTwice held the old behaviour for idempotent work as right, and the loss of the result for the others; it now holds all three classes to one stricter outcome: no end, and the result is served. The counts have one new key, at the end of workers.

--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -68,8 +68,11 @@
 	Worker     WorkerID
 	Attempt    int
 	Accepted   bool    // the worker has received it, but may not have read it yet
-	Started    bool    // the attempt has started; if Accepted and Started are both false, it is still running
+	Started    bool    // the attempt has started; if no flag is set, it is still running
 	Done       float64 // fraction of the work done, 0 to 1
+	// MayBeReturned: the worker has returned this attempt unstarted, or has repeated that it returned
+	// an earlier attempt of the invocation; which of the two is unknown.
+	MayBeReturned bool
 }
 
 // Result is how an attempt or a health check ended.
--- a/dispatch/mailbox.go
+++ b/dispatch/mailbox.go
@@ -195,6 +195,14 @@
 
 func (m attemptStalled) deliverToScheduler(s *scheduler) { s.attemptStalled(m) }
 
+// attemptMayBeReturned notifies the scheduler that a worker may have returned an attempt unstarted.
+type attemptMayBeReturned struct {
+	invocation int
+	number     int
+}
+
+func (m attemptMayBeReturned) deliverToScheduler(s *scheduler) { s.attemptMayBeReturned(m) }
+
 // startObserved tells the scheduler whether an attempt started at once: 1 if it did, 0 if not.
 type startObserved struct{ immediate float64 }
 
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -128,6 +128,21 @@
 	s.retry(stalled.invocation)
 }
 
+// attemptMayBeReturned retries an invocation whose attempt may have been returned. The attempt counts
+// as in flight, as it may still be answered. It is cancelled only where it would prevent a retry.
+func (s *scheduler) attemptMayBeReturned(returned attemptMayBeReturned) {
+	v := &s.invocations[returned.invocation]
+	if v.answered || returned.number >= len(v.attempts) {
+		return
+	}
+	retriable := s.operations[v.operation].effect != NonIdempotent
+	if s.maxInFlight <= 1 && s.cancelAllowed && retriable {
+		s.emit(Cancel{Invocation: v.id, Attempt: returned.number}) // its outcome causes the retry
+		return
+	}
+	s.attemptStalled(attemptStalled(returned))
+}
+
 // giveUp gives a final answer without a result. If an attempt is in flight, it only takes the
 // invocation out of the queue, because the attempt may still be answered.
 func (s *scheduler) giveUp(index int) {
--- a/dispatch/retry_test.go
+++ b/dispatch/retry_test.go
@@ -42,6 +42,34 @@
 	// non-idempotent, cancelled: 1 to a; 1 failed
 }
 
+// An attempt that may have been returned stays in flight, and its worker gets no other attempt of the
+// invocation. It is cancelled only where a retry is allowed but a second attempt in flight is not.
+func Example_mayBeReturned() {
+	for operation, name := range []string{"idempotent", "deduplicated by zone", "non-idempotent"} {
+		for _, limits := range []Limits{{MaxInFlight: 2, Cancel: true}, {MaxInFlight: 1, Cancel: true}, {MaxInFlight: 1}} {
+			config := testConfig()
+			config.Limits.MaxInFlight = limits.MaxInFlight
+			config.Limits.Cancel = limits.Cancel
+			h := newHarness(config, readyEndpoint('a', 1), readyEndpoint('b', 2), readyEndpoint('c', 1))
+			h.collects = true
+			h.handleAt(10*ms, freeSlotsResult('a', 4), freeSlotsResult('b', 3), freeSlotsResult('c', 2))
+			h.handleAt(20*ms, arrival(1, operation, 0.2))
+			h.handleAt(120*ms, AttemptProgress{Invocation: 1, Worker: workerID('a'), MayBeReturned: true})
+			h.printCollected(fmt.Sprintf("%s, max in flight %d, cancel %v", name, limits.MaxInFlight, limits.Cancel))
+		}
+	}
+	// Output:
+	// idempotent, max in flight 2, cancel true: 1 to a; 1 to b
+	// idempotent, max in flight 1, cancel true: 1 to a; 1 cancels attempt 0
+	// idempotent, max in flight 1, cancel false: 1 to a
+	// deduplicated by zone, max in flight 2, cancel true: 1 to a; 1 to c
+	// deduplicated by zone, max in flight 1, cancel true: 1 to a; 1 cancels attempt 0
+	// deduplicated by zone, max in flight 1, cancel false: 1 to a
+	// non-idempotent, max in flight 2, cancel true: 1 to a
+	// non-idempotent, max in flight 1, cancel true: 1 to a
+	// non-idempotent, max in flight 1, cancel false: 1 to a
+}
+
 // Schedulers that throttle clients at the same moment suggest different retry delays, up to the longest
 // one allowed.
 func Example_retryAfterJitter() {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -371,6 +371,10 @@
 		return
 	}
 	attempt.accepted = true
+	if progress.MayBeReturned {
+		w.scheduler.send(attemptMayBeReturned{invocation: invocation, number: progress.Attempt})
+		return
+	}
 	if progress.Accepted { // not a sign of progress: a hung worker accepts everything
 		return
 	}
--- a/internal/workers/attempt.go
+++ b/internal/workers/attempt.go
@@ -46,7 +46,7 @@
 	worker                  *worker
 	exchange                *exchange   // nil once it is done, and for an attempt that another process sent
 	sendStarted             bool        // some of the request may have been written
-	workerHadEarlierAttempt bool        // an earlier attempt was written to this worker, so that a late callback may belong to it
+	workerHadEarlierAttempt bool        // an earlier attempt was written to this worker, so that a callback may belong to it
 	accepted                bool        // the worker has responded 202: the connection is free again, the worker's slot is not
 	started                 bool        // a callback has reported that the work has started
 	timeout                 *conn.Timer // fires at the client timeout
@@ -180,8 +180,8 @@
 		return
 	}
 	t.untrack(a)
-	if a.mayHaveRun(reason) {
-		reason = conn.Lost
+	if a.started && reason.ProvesNotRun() {
+		reason = conn.Lost // the worker had reported that it started
 	}
 	stoppedLocally := reason == conn.Cancelled || reason == conn.TimedOut
 	t.endExchange(a, stoppedLocally)
@@ -200,16 +200,6 @@
 	})
 }
 
-// mayHaveRun reports whether an attempt may have run although the reason of its end claims that it
-// has not: its worker had reported that it started, or the callback that returned it may refer to
-// an earlier attempt.
-func (a *attempt) mayHaveRun(reason conn.CloseReason) bool {
-	if a.started && reason.ProvesNotRun() {
-		return true
-	}
-	return reason == conn.Returned && a.workerHadEarlierAttempt && a.invocation.needsProofNotRun()
-}
-
 // endExchange ends the exchange of an attempt that has ended before its response arrived.
 func (t *Transport) endExchange(a *attempt, stoppedLocally bool) {
 	x := a.exchange
--- a/internal/workers/callback.go
+++ b/internal/workers/callback.go
@@ -65,10 +65,33 @@
 	case callbackFailed:
 		t.endAttempt(a, conn.WorkerError, callback.Load)
 	case callbackReturned:
-		t.endAttempt(a, conn.Returned, callback.Load)
+		t.handleReturned(a, callback.Load)
 	case callbackLost:
 		t.endAttempt(a, conn.Lost, callback.Load)
 	default:
 		t.Counts.UnknownCallbacks++
 	}
 }
+
+// handleReturned ends an attempt that its worker has returned unstarted.
+//
+// A callback names the invocation and the worker, but not the attempt, and a worker repeats a
+// callback whose response it has not received. If an earlier attempt was written to the same worker,
+// the callback may therefore be a repeat of the one that returned the earlier attempt, while this
+// one waits or runs at the worker. It proves nothing about this attempt, which stays in flight.
+func (t *Transport) handleReturned(a *attempt, load *dispatch.LoadReport) {
+	if !a.workerHadEarlierAttempt {
+		t.endAttempt(a, conn.Returned, load)
+		return
+	}
+	t.Counts.AmbiguousReturns++
+	if a.started {
+		return // a worker returns only what it has not started, so this is a repeat
+	}
+	t.OnEvent(dispatch.AttemptProgress{
+		Invocation:    a.invocation.Number,
+		Worker:        a.worker.endpoint.Worker,
+		Attempt:       a.number,
+		MayBeReturned: true,
+	})
+}
--- a/internal/workers/callback_test.go
+++ b/internal/workers/callback_test.go
@@ -126,9 +126,9 @@
 	// inv 2 attempt 0 ends: 5 closed=false load=true
 }
 
-// A worker has returned an invocation, receives it again, and reports once more that it returns it.
-// The second report may refer to the first attempt. Non-idempotent work must not be retried then,
-// and deduplicated work keeps its group and window.
+// Guards against taking a repeated callback for the end of a later attempt at the same worker: a
+// worker has returned an invocation, receives it again, and reports once more that it returns it.
+// Whatever the effect class, that proves nothing about the second attempt, whose result counts.
 func Example_returnedTwice() {
 	for _, effect := range []dispatch.Effect{dispatch.Idempotent, dispatch.Deduplicated, dispatch.NonIdempotent} {
 		f := newFixture(acceptedResponse, acceptedResponse)
@@ -141,6 +141,12 @@
 			f.reportState("id1", "returned")
 			f.runUntil(1, 0)
 		}
+		f.reportState("id1", "started")
+		f.reportState("id1", "returned") // a worker returns only what it has not started
+		f.runUntil(1, 0)
+		fmt.Println("in flight:", f.InFlight(), "ambiguous:", f.Counts.AmbiguousReturns)
+		f.HandleCallback(Callback{ID: "id1", WorkerUID: workerUID, State: "done", Result: new("fine")})
+		f.runUntil(1, 0)
 	}
 	// Output:
 	// connection 1: POST /render/7f HTTP/1.1 id1 body
@@ -148,17 +154,29 @@
 	// inv 1 attempt 0 ends: 2 closed=false load=false
 	// connection 1: POST /render/7f HTTP/1.1 id1 body
 	// inv 1 attempt 1: accepted=true started=false done=0
-	// inv 1 attempt 1 ends: 2 closed=false load=false
+	// inv 1 attempt 1 may be returned
+	// inv 1 attempt 1: accepted=false started=true done=0
+	// in flight: 1 ambiguous: 2
+	// to the client: 1 fine
+	// inv 1 attempt 1 ends: 0 closed=true load=false
 	// connection 1: POST /render/7f HTTP/1.1 id1 body
 	// inv 1 attempt 0: accepted=true started=false done=0
 	// inv 1 attempt 0 ends: 2 closed=false load=false
 	// connection 1: POST /render/7f HTTP/1.1 id1 body
 	// inv 1 attempt 1: accepted=true started=false done=0
-	// inv 1 attempt 1 ends: 5 closed=false load=false
+	// inv 1 attempt 1 may be returned
+	// inv 1 attempt 1: accepted=false started=true done=0
+	// in flight: 1 ambiguous: 2
+	// to the client: 1 fine
+	// inv 1 attempt 1 ends: 0 closed=true load=false
 	// connection 1: POST /render/7f HTTP/1.1 id1 body
 	// inv 1 attempt 0: accepted=true started=false done=0
 	// inv 1 attempt 0 ends: 2 closed=false load=false
 	// connection 1: POST /render/7f HTTP/1.1 id1 body
 	// inv 1 attempt 1: accepted=true started=false done=0
-	// inv 1 attempt 1 ends: 5 closed=false load=false
+	// inv 1 attempt 1 may be returned
+	// inv 1 attempt 1: accepted=false started=true done=0
+	// in flight: 1 ambiguous: 2
+	// to the client: 1 fine
+	// inv 1 attempt 1 ends: 0 closed=true load=false
 }
--- a/internal/workers/fixture_test.go
+++ b/internal/workers/fixture_test.go
@@ -128,6 +128,10 @@
 	case dispatch.HealthCheckResult:
 		f.record("health check ends: %d load=%v", e.Result, e.Load != nil)
 	case dispatch.AttemptProgress:
+		if e.MayBeReturned {
+			f.record("inv %d attempt %d may be returned", e.Invocation, e.Attempt)
+			break
+		}
 		f.record("inv %d attempt %d: accepted=%v started=%v done=%v", e.Invocation, e.Attempt, e.Accepted, e.Started, e.Done)
 	default:
 		return
--- a/internal/workers/transport.go
+++ b/internal/workers/transport.go
@@ -41,16 +41,17 @@
 
 // Counts are totals of what was sent and how it ended.
 type Counts struct {
-	Sent                 int            `json:"Sent"`     // attempts
-	HealthChecks         int            `json:"Probes"`   // health checks
-	Cancels              int            `json:"Cancels"`  // cancels of accepted attempts
-	Callbacks            int            `json:"News"`     // callbacks received
-	UnknownCallbacks     int            `json:"Strange"`  // callbacks of unknown attempts or states
-	Dialled              int            `json:"Dialled"`  // connections dialled
-	AttemptsByReason     map[string]int `json:"Ended"`    // attempts, by close reason
-	HealthChecksByReason map[string]int `json:"Answered"` // health checks, by close reason
-	EndpointChanges      map[string]int `json:"Changes"`  // workers changed in the endpoint list, by change, such as "ready to draining"
-	StoppedAttempts      map[string]int `json:"Stopped"`  // attempts that the check before the first byte stopped, by cause
+	Sent                 int            `json:"Sent"`             // attempts
+	HealthChecks         int            `json:"Probes"`           // health checks
+	Cancels              int            `json:"Cancels"`          // cancels of accepted attempts
+	Callbacks            int            `json:"News"`             // callbacks received
+	UnknownCallbacks     int            `json:"Strange"`          // callbacks of unknown attempts or states
+	Dialled              int            `json:"Dialled"`          // connections dialled
+	AttemptsByReason     map[string]int `json:"Ended"`            // attempts, by close reason
+	HealthChecksByReason map[string]int `json:"Answered"`         // health checks, by close reason
+	EndpointChanges      map[string]int `json:"Changes"`          // workers changed in the endpoint list, by change, such as "ready to draining"
+	StoppedAttempts      map[string]int `json:"Stopped"`          // attempts that the check before the first byte stopped, by cause
+	AmbiguousReturns     int            `json:"AmbiguousReturns"` // callbacks that may have returned an earlier attempt at the same worker
 }
 
 // NewTransport returns a transport without any workers. Its connections count against quota.
