A migrated request keeps which workers had its attempts and which of them had started

Whether a returned callback may belong to an earlier attempt at the worker was a flag of the attempt, set at its first byte. Transport.AdoptAttempt, used by service.AdoptRequest and service.CancelMigration, made attempts anew without it, and without the fact that they had started. Behind a replacement a repeated callback counted as proof that nothing had run.

Change: the flag is gone; the invocation keeps which attempts may have been written to which worker, AdoptAttempts fills that and started from the migration record, and writtenBefore derives the doubt when a callback arrives. Both callers share the one method. No message between processes changes. The fixture of the workers' tests wakes its loop for what has been reported before it runs.

Tests of internal/workers and the take-over tests of cmd/stoatweir pass.

--- a/cmd/stoatweir/migration.go
+++ b/cmd/stoatweir/migration.go
@@ -40,11 +40,7 @@
 	request := s.migrating[id]
 	delete(s.migrating, id)
 	s.requests[id] = request
-	for number, attempt := range record.Attempts {
-		if attempt.InFlight {
-			s.workers.AdoptAttempt(request.Invocation, number, attempt.Worker)
-		}
-	}
+	s.workers.AdoptAttempts(request.Invocation, record.Attempts)
 	s.Notify(record)
 }
 
@@ -53,13 +49,12 @@
 func (s *service) AdoptRequest(request takeover.Request, record dispatch.MigratedIn) {
 	tracked := &trackedRequest{Invocation: request.Invocation, operation: request.Operation, attempts: request.Attempts}
 	s.requests[record.Invocation] = tracked
-	for number, attempt := range record.Attempts {
-		s.workers.MarkAttempted(tracked.Invocation, attempt.Worker)
+	for _, attempt := range record.Attempts {
 		if attempt.InFlight {
 			tracked.inFlight++
-			s.workers.AdoptAttempt(tracked.Invocation, number, attempt.Worker)
 		}
 	}
+	s.workers.AdoptAttempts(tracked.Invocation, record.Attempts)
 	s.workers.Invariants.MigrateIn(record.Invocation, s.requestLimits(tracked.Invocation, tracked.operation),
 		s.migratedAttemptsOf(record.Attempts))
 	s.Notify(record)
--- a/internal/workers/attempt.go
+++ b/internal/workers/attempt.go
@@ -41,15 +41,14 @@
 
 // attempt is one try to run an invocation at a worker.
 type attempt struct {
-	invocation              *Invocation
-	number                  int
-	worker                  *worker
-	exchange                *exchange   // nil once it is done, and for an attempt that another process sent
-	sendStarted             bool        // some of the request may have been written
-	workerHadEarlierAttempt bool        // an earlier attempt was written to this worker, so that a callback may belong to it
-	accepted                bool        // the worker has responded 202: the connection is free again, the worker's slot is not
-	started                 bool        // a callback has reported that the work has started
-	timeout                 *conn.Timer // fires at the client timeout
+	invocation  *Invocation
+	number      int
+	worker      *worker
+	exchange    *exchange   // nil once it is done, and for an attempt that another process sent
+	sendStarted bool        // some of the request may have been written
+	accepted    bool        // the worker has responded 202: the connection is free again, the worker's slot is not
+	started     bool        // a callback has reported that the work has started
+	timeout     *conn.Timer // fires at the client timeout
 }
 
 func (a *attempt) key() attemptKey {
@@ -116,8 +115,7 @@
 			check.Current = a.target()
 			t.Invariants.AttemptStarted(check)
 			a.sendStarted = true
-			a.workerHadEarlierAttempt = slices.Contains(a.invocation.attemptedOn, a.worker)
-			a.invocation.attemptedOn = append(a.invocation.attemptedOn, a.worker)
+			a.invocation.written = append(a.invocation.written, writtenAttempt{number: a.number, worker: a.worker})
 		},
 		onWritten: t.OnWritten,
 		onDone:    func(response *http1.Message, reason conn.CloseReason) { t.handleAttemptResponse(a, response, reason) },
--- a/internal/workers/callback.go
+++ b/internal/workers/callback.go
@@ -80,7 +80,7 @@
 // the callback may therefore be a repeat of the one that returned the earlier attempt, while this
 // one waits or runs at the worker. It proves nothing about this attempt, which stays in flight.
 func (t *Transport) handleReturned(a *attempt, load *dispatch.LoadReport) {
-	if !a.workerHadEarlierAttempt {
+	if !a.invocation.writtenBefore(a.number, a.worker) {
 		t.endAttempt(a, conn.Returned, load)
 		return
 	}
--- a/internal/workers/fixture_test.go
+++ b/internal/workers/fixture_test.go
@@ -211,6 +211,7 @@
 func (f *fixture) runUntil(events, received int) {
 	limit := f.loop.After(testTimeout, func() { panic("events or requests not reported in time") })
 	var requests []string
+	f.loop.After(0, func() {}) // what has already been reported wakes no loop
 	f.loop.Run(func() {
 		for more := true; more && len(requests) < received; {
 			select {
--- a/internal/workers/invocation.go
+++ b/internal/workers/invocation.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"slices"
 	"time"
 
 	"stoatweir/dispatch"
@@ -17,7 +18,20 @@
 	Effect             dispatch.Effect
 	ExpectedWork       float64 // expected work in seconds; 0: not given
 
-	attemptedOn []*worker // the workers to which it has been written, one entry per attempt
+	written []writtenAttempt // the attempts that may have been written, whichever process made them
+}
+
+// writtenAttempt is an attempt of which some bytes may have been written to a worker.
+type writtenAttempt struct {
+	number int
+	worker *worker
+}
+
+// writtenBefore reports whether an attempt before the given one may have been written to a worker.
+func (i *Invocation) writtenBefore(number int, w *worker) bool {
+	return slices.ContainsFunc(i.written, func(earlier writtenAttempt) bool {
+		return earlier.number < number && earlier.worker == w
+	})
 }
 
 // needsProofNotRun reports whether a retry requires proof that the attempts before it did not run.
--- a/internal/workers/migration.go
+++ b/internal/workers/migration.go
@@ -25,19 +25,23 @@
 	}
 }
 
-// AdoptAttempt registers an attempt that another process has sent and its worker has accepted. The
-// worker must be known to this transport.
-func (t *Transport) AdoptAttempt(inv *Invocation, number int, to dispatch.WorkerID) {
-	t.track(&attempt{
-		invocation:  inv,
-		number:      number,
-		worker:      t.workersByID[to],
-		sendStarted: true,
-		accepted:    true,
-	})
-}
-
-// MarkAttempted records that another process has sent an invocation to a worker.
-func (t *Transport) MarkAttempted(inv *Invocation, worker dispatch.WorkerID) {
-	inv.attemptedOn = append(inv.attemptedOn, t.workersByID[worker])
+// AdoptAttempts records the attempts of an invocation that another process made, or that were
+// released, in the order of their numbers. Those in flight are in flight in this transport from now
+// on; their workers have accepted them. All workers must be known to this transport.
+func (t *Transport) AdoptAttempts(inv *Invocation, attempts []dispatch.Attempt) {
+	for number, adopted := range attempts {
+		w := t.workersByID[adopted.Worker]
+		inv.written = append(inv.written, writtenAttempt{number: number, worker: w})
+		if !adopted.InFlight {
+			continue
+		}
+		t.track(&attempt{
+			invocation:  inv,
+			number:      number,
+			worker:      w,
+			sendStarted: true,
+			accepted:    true,
+			started:     adopted.StartedAge >= 0,
+		})
+	}
 }
