A slow discovery at a new address is heard: the call that has waited longest stays open

Watcher.watchFailed closed a watch of a new address after candidateTimeout (1.5 s) and dialled again, so no call was ever served. shouldKeepOverdue, which keeps the oldest call of the ordinary watch, left the candidate out.

Change: while the address changes, the overdue request is the first one to the new address that timed out. The watch knows that it goes to a new address, so an overdue one replaces the current watch with its first list and not with a keep-alive, and updates from the old address no longer end it. A watcher may hold three connections instead of two meanwhile.

The other watch tests (after each discovery return, silent watch, address change, 300 restarts) pass.

--- a/internal/discovery/address.go
+++ b/internal/discovery/address.go
@@ -29,7 +29,10 @@
 	w.candidateTimer = w.loop.After(w.jitter(0, addressChangeJitter), w.dialCandidate)
 }
 
-func (w *Watcher) dialCandidate() { w.candidate = w.open(noRevision, candidateTimeout) }
+func (w *Watcher) dialCandidate() {
+	w.candidate = w.open(noRevision, candidateTimeout)
+	w.candidate.toNewAddress = true
+}
 
 // candidateFailed schedules the next attempt to reach the new address. Only the first failure after
 // a change of the address is reported, as attempts follow each other quickly.
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -29,14 +29,15 @@
 
 // watch is one request to discovery whose response stays open.
 type watch struct {
-	watcher     *Watcher
-	conn        *conn.Conn // nil once closed
-	addr        string
-	parser      http1.Parser
-	scanner     valueScanner
-	revision    uint64 // that was requested
-	established bool   // has received a complete list, change or keep-alive
-	timeout     *conn.Timer
+	watcher      *Watcher
+	conn         *conn.Conn // nil once closed
+	addr         string
+	parser       http1.Parser
+	scanner      valueScanner
+	revision     uint64 // that was requested
+	toNewAddress bool   // requests the whole list at a new address, to replace the current watch
+	established  bool   // has received a complete list, change or keep-alive
+	timeout      *conn.Timer
 }
 
 // close closes the watch without reporting a failure. It does nothing on a nil or closed watch.
@@ -147,13 +148,13 @@
 
 // receiveKeepAlive handles a blank line: nothing has changed since the known revision. If the watch
 // has received nothing before, this is reported as an update without changes, as the watch would
-// otherwise look as if it had never been established. A candidate that has received no list yet does
-// not replace a current watch.
+// otherwise look as if it had never been established. A watch of a new address that has received no
+// list yet does not replace a current watch.
 func (w *watch) receiveKeepAlive() {
 	owner := w.watcher
 	owner.startTimes.recordReceived()
 	w.extendTimeout()
-	mayReplaceCurrent := w == owner.current || w == owner.overdue || owner.current == nil
+	mayReplaceCurrent := !w.toNewAddress || owner.current == nil
 	if !w.established && mayReplaceCurrent {
 		owner.watchReceived(w, Update{Kind: dispatch.DeltaUpdate})
 	}
@@ -170,7 +171,7 @@
 		return err
 	}
 	owner.startTimes.recordReceived() // after Parse, which bounds new starts by the time of the previous receipt
-	if w != owner.candidate && update.Kind == dispatch.DeltaUpdate && owner.revision < previousRevision {
+	if !w.toNewAddress && update.Kind == dispatch.DeltaUpdate && owner.revision < previousRevision {
 		return fmt.Errorf("revision went back from %d to %d", previousRevision, owner.revision)
 	}
 	owner.watchReceived(w, update)
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -221,6 +221,77 @@
 	})
 }
 
+// Guards against starving at a slow new address while the old one still sends updates: the request
+// that has waited longest stays open besides at most one later request, neither an update from the
+// old address nor a keep-alive ends it, and its list replaces the watch of the old address.
+func TestOverdueRequestToNewAddressIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const oldAddr, newAddr = "127.0.0.1:1", "127.0.0.1:2"
+		const changeAt, keepAliveTime, responseTime = time.Second, 5 * time.Second, 8 * time.Second
+		const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\n\r\n", len(text)+1, text) }
+		loop, w := newTestWatcher(oldAddr)
+		var mu sync.Mutex
+		open := map[string]int{}
+		mostOpen := 0
+		loop.DialContext = func(_ context.Context, _, addr string) (net.Conn, error) {
+			local, remote := net.Pipe()
+			mu.Lock()
+			defer mu.Unlock()
+			open[addr]++
+			mostOpen = max(mostOpen, open[newAddr])
+			go func() {
+				io.Copy(io.Discard, remote)
+				mu.Lock()
+				open[addr]--
+				mu.Unlock()
+			}()
+			go func() {
+				if addr == newAddr {
+					time.Sleep(keepAliveTime)
+					io.WriteString(remote, head+chunk(""))
+					time.Sleep(responseTime - keepAliveTime)
+					io.WriteString(remote, chunk(`{"rev":7,"all":true,"targets":[]}`))
+					return
+				}
+				io.WriteString(remote, head)
+				for revision := 41; ; revision++ {
+					if _, err := io.WriteString(remote, chunk(fmt.Sprintf(`{"rev":%d,"all":%v,"targets":[]}`, revision, revision == 41))); err != nil {
+						return
+					}
+					time.Sleep(time.Second)
+				}
+			}()
+			return local, nil
+		}
+		w.OnFailure = func(string) {}
+		var receivedAt time.Duration
+		replacedEarly := false
+		w.OnUpdate = func(Update) {
+			if w.revision != 7 {
+				replacedEarly = replacedEarly || loop.Now() > changeAt && !w.changingAddress
+				return
+			}
+			receivedAt = loop.Now()
+			loop.After(2*time.Second, func() {
+				w.current.close()
+				loop.After(time.Second, loop.Stop)
+			})
+		}
+		w.Watch()
+		loop.After(changeAt, func() { w.ChangeAddress(newAddr) })
+		loop.After(time.Minute, loop.Stop)
+		loop.Run(func() {})
+		time.Sleep(responseTime) // the answers to closed requests end
+		mu.Lock()
+		defer mu.Unlock()
+		if replacedEarly || receivedAt != changeAt+responseTime || mostOpen != 2 || open[oldAddr] != 0 || open[newAddr] != 0 {
+			t.Errorf("the list arrived at %v, replaced early %v, at most %d requests were open at the new address, left are %v",
+				receivedAt, replacedEarly, mostOpen, open)
+		}
+	})
+}
+
 // The longest list is read: the maximum number of workers, indented, with long names.
 func TestLongestListIsRead(t *testing.T) {
 	const workers = 3200
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// maxConnections is the maximum number of connections of a watcher: the current watch, and one
-	// that is overdue or goes to a new address.
-	maxConnections = 2
+	// maxConnections is the maximum number of connections of a watcher: the current watch, an
+	// overdue one, and one to a new address.
+	maxConnections = 3
 	// noRevision as the requested revision asks discovery for the whole list.
 	noRevision uint64 = 0
 )
@@ -49,7 +49,7 @@
 
 	addr                string // for the next request
 	current             *watch // nil: none
-	overdue             *watch // timed out before its first list and may still be served, besides the current one; nil: none
+	overdue             *watch // timed out before its first list and may still be served, besides the current one or the candidate; nil: none
 	lastTimedOut        bool   // the last watch to time out was established
 	consecutiveFailures int    // number of consecutive failures of watches since anything was received
 
@@ -131,6 +131,7 @@
 // watchFailed closes a watch that has failed, or keeps it as the overdue one, and handles the
 // failure according to the role of the watch.
 func (w *Watcher) watchFailed(failed *watch, cause error) {
+	wasOverdue := failed == w.overdue
 	if w.shouldKeepOverdue(failed, cause) {
 		w.overdue = failed
 		failed.setTimeout(overdueTimeout, failed.onOverdueTimeout)
@@ -138,7 +139,7 @@
 		failed.close()
 	}
 	switch {
-	case failed == w.overdue && failed != w.current:
+	case wasOverdue:
 		w.overdue = nil
 	case failed == w.candidate:
 		w.candidate = nil
@@ -156,38 +157,56 @@
 // shouldKeepOverdue reports whether a request that has timed out may stay open while the next one
 // waits too. Discovery serves requests one after another. If the wait there is longer than a
 // request's timeout and each request were closed at its timeout, none would ever be served. The
-// oldest request is the closest to being served.
+// oldest request is the closest to being served. While the address changes, that holds for the
+// requests to the new address.
 func (w *Watcher) shouldKeepOverdue(failed *watch, cause error) bool {
+	next := w.current
+	if w.changingAddress {
+		next = w.candidate
+	}
 	return errors.Is(cause, errTimedOut) &&
-		failed == w.current && !failed.established && failed.conn.Established() &&
-		!w.changingAddress && w.overdue == nil
+		failed == next && !failed.established && failed.conn.Established() && w.overdue == nil
 }
 
 // watchReceived reports an update. The watch that received it becomes the current one, and the
-// other watches are closed.
+// other watches are closed, except that those of a new address outlast an update from the old one.
 func (w *Watcher) watchReceived(from *watch, update Update) {
-	if from == w.candidate || from == w.overdue {
+	if from != w.current {
 		w.current.close()
 		w.current = from
 	}
-	if from == w.candidate {
-		w.candidate = nil
+	if from.toNewAddress {
+		from.toNewAddress = false
 		w.changingAddress = false
+		w.candidateTimer.Stop()
 	}
-	if from != w.overdue {
-		w.overdue.close()
+	if !w.changingAddress {
+		w.closeExcept(from)
 	}
-	w.overdue = nil
 	w.consecutiveFailures = 0
 	from.established = true
 	from.extendTimeout()
 	w.OnUpdate(update)
 }
 
+// closeExcept closes the overdue watch and the candidate, unless they have become the current one.
+func (w *Watcher) closeExcept(current *watch) {
+	for _, other := range []*watch{w.overdue, w.candidate} {
+		if other != current {
+			other.close()
+		}
+	}
+	w.overdue = nil
+	w.candidate = nil
+}
+
 // requireFullList makes the next watch request the whole list, because it is unknown to which list
-// changes would apply.
+// changes would apply. An overdue request to a new address has asked for the whole list anyway.
 func (w *Watcher) requireFullList() {
 	w.revision = noRevision
+	if w.changingAddress {
+		return
+	}
 	w.overdue.close()
 	w.overdue = nil
 }
