A process that is told to stop does not exit before the one that it replaces

Both processes get SIGTERM; the new one, not ready and with nothing in hand, exited 1.5 s later (service.drained knows only its own requests), while the old one had 9 in hand (entry, log: stop requested at 13.09 s for both, "successor exited" at 14.60 s, and no word of the old one after it; first loss at 14.27 s).

Change: the lifecycle knows whether the predecessor is running, from the take-over link. While it is, the process does not exit when idle, and its last moment is 0.2 s later, 0.1 s before it may be killed. No message between processes changes.

Measured: TestSuccessorDoesNotExitFirst and ExampleLifecycle_PredecessorChanged; the first fails with the condition taken out of ExitsWhenIdle, and passed 5 times of 5 with it.

--- a/cmd/stoatweir/lifecycle.go
+++ b/cmd/stoatweir/lifecycle.go
@@ -109,6 +109,13 @@
 	})
 }
 
+// PredecessorChanged records that the predecessor is running or has exited. It implements
+// takeover.Lifecycle.
+func (s *service) PredecessorChanged(present bool) {
+	s.lifecycle.PredecessorChanged(present)
+	s.applyLifecycle()
+}
+
 // ShouldMigrate reports whether connections are to be migrated to the successor. It implements
 // takeover.Lifecycle.
 func (s *service) ShouldMigrate() bool { return s.lifecycle.Behavior(s.loop.Now()).Migrates }
--- a/cmd/stoatweir/races_test.go
+++ b/cmd/stoatweir/races_test.go
@@ -152,6 +152,50 @@
 	r.waitForExit(p, 6*time.Second)
 }
 
+// Guards against the loss of requests where both processes are ordered to stop in the middle of a
+// replacement: the successor, which has none in flight, does not exit before its predecessor, which
+// answers all that it has.
+func TestSuccessorDoesNotExitFirst(t *testing.T) {
+	for _, ready := range []bool{false, true} {
+		t.Run(fmt.Sprintf("successor ready=%v", ready), func(t *testing.T) {
+			t.Parallel()
+			r := newTestRig(t, 3, 2500*time.Millisecond)
+			p := r.startProcess()
+			r.waitUntilReady(p)
+			_, reader := r.sendWithoutWaiting("render", "long")
+			r.waitForInFlight(p, 1)
+			if !ready {
+				silent, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer silent.Close()
+				r.config["discovery"] = silent.Addr().String()
+				r.writeConfig()
+			}
+			successor := r.startProcess()
+			r.waitForLog(p, "successor accepted", 1)
+			if ready {
+				r.waitUntilReady(successor)
+			} else {
+				r.waitForLog(successor, "deployment configured", 1)
+			}
+			p.Process.Signal(syscall.SIGTERM)
+			successor.Process.Signal(syscall.SIGTERM)
+			if statusLine, _, _, err := readAnswer(reader); statusLine != "HTTP/1.1 200" || err != nil {
+				t.Errorf("got status line %q and error %v, want status 200 and no error", statusLine, err)
+			}
+			r.waitForExit(successor, 4*time.Second)
+			select {
+			case <-p.exited:
+			case <-time.After(100 * time.Millisecond):
+				t.Error("the successor has exited before its predecessor")
+			}
+			r.checkPeers()
+		})
+	}
+}
+
 // A process with another name that is started at the same address gets neither the listening socket
 // nor any requests, and logs why it exits.
 func TestSuccessorWithOtherNameIsRejected(t *testing.T) {
--- a/internal/lifecycle/behavior.go
+++ b/internal/lifecycle/behavior.go
@@ -68,9 +68,9 @@
 		ClosesIdle:     closes,
 		Migrates:       handingOver && !fails,
 		KeepsCallbacks: handingOver,
-		ExitsWhenIdle:  closes || handingOver,
+		ExitsWhenIdle:  (closes || handingOver) && !l.predecessorRunning,
 		FailsRemaining: fails,
-		Exits:          now >= l.failAt+exitDelay,
+		Exits:          now >= l.exitAt(),
 	}
 }
 
@@ -86,7 +86,7 @@
 			l.enteredAt + drainPartialCloseDelay,
 		}
 	case Stopping, HandingOver:
-		changes = []time.Duration{l.closeAt, l.failAt, l.failAt + exitDelay}
+		changes = []time.Duration{l.closeAt, l.failAt, l.exitAt()}
 	}
 	for _, change := range changes {
 		if change > now {
--- a/internal/lifecycle/states.go
+++ b/internal/lifecycle/states.go
@@ -24,10 +24,11 @@
 // Lifecycle is the state machine of one process. The zero value is a process in state Starting. It is not
 // safe for concurrent use.
 type Lifecycle struct {
-	state            State
-	enteredAt        time.Duration // when the state was entered
-	endpointsKnown   bool          // EndpointsKnown was called, in whatever state
-	successorServing bool          // another process serves at the same address
+	state              State
+	enteredAt          time.Duration // when the state was entered
+	endpointsKnown     bool          // EndpointsKnown was called, in whatever state
+	successorServing   bool          // another process serves at the same address
+	predecessorRunning bool          // the process that this one replaces has not exited yet
 
 	// Set by Stop.
 	closeAt time.Duration // when client connections are closed
--- a/internal/lifecycle/transitions.go
+++ b/internal/lifecycle/transitions.go
@@ -22,6 +22,9 @@
 	// exitDelay is the time from the last answers, at failAt, to the exit. It is also the minimum time from
 	// closing idle connections to the last answers.
 	exitDelay = 200 * time.Millisecond
+	// predecessorExitDelay is how much longer a process waits for the exit of its predecessor, which may
+	// have been ordered to stop at the same time. It ends 0.1 s before the process is killed.
+	predecessorExitDelay = 200 * time.Millisecond
 )
 
 // EndpointsKnown records that the endpoints are known, or that the process no longer waits for them. A
@@ -71,6 +74,19 @@
 	}
 }
 
+// PredecessorChanged records that the process which this one replaces is still running (present) or has
+// exited. A process that is ordered to stop does not exit before its predecessor: who started it knows the
+// newest process as the scheduler, and may end what is left of the scheduler when that process exits.
+func (l *Lifecycle) PredecessorChanged(present bool) { l.predecessorRunning = present }
+
+// exitAt returns when a process that shuts down exits, whatever is outstanding.
+func (l *Lifecycle) exitAt() time.Duration {
+	if l.predecessorRunning {
+		return l.failAt + exitDelay + predecessorExitDelay
+	}
+	return l.failAt + exitDelay
+}
+
 // Stop carries out the order to shut down. longestTimeout is the longest client timeout; 0 if neither the
 // settings nor a client has specified one. A second order changes nothing.
 func (l *Lifecycle) Stop(now, longestTimeout time.Duration) {
--- a/internal/lifecycle/transitions_test.go
+++ b/internal/lifecycle/transitions_test.go
@@ -136,6 +136,25 @@
 	//  3.4s handing over: ready, closes idle, keeps callbacks, exits when idle, fails remaining, exits
 }
 
+// Guards against the loss of what a predecessor still has in hand, where both processes are ordered to
+// stop in the middle of a replacement: the newer process does not exit first.
+func ExampleLifecycle_PredecessorChanged() {
+	var l Lifecycle
+	l.PredecessorChanged(true)
+	l.Stop(time.Second, 25*time.Second)
+	trace(&l, time.Second)
+	l.PredecessorChanged(false)
+	trace(&l, 3*time.Second)
+	// Output:
+	//    1s stopping: accepts, admits
+	//  2.5s stopping: accepts, admits, closes idle
+	//  4.2s stopping: accepts, closes idle, fails remaining
+	//  4.6s stopping: accepts, closes idle, fails remaining, exits
+	//    3s stopping: accepts, admits, closes idle, exits when idle
+	//  4.2s stopping: accepts, closes idle, exits when idle, fails remaining
+	//  4.4s stopping: accepts, closes idle, exits when idle, fails remaining, exits
+}
+
 // However short the client timeouts are, the process exits before it may be killed, 0.7 s after the longest
 // one, also during a drain. If no timeout is known, no answer can be late.
 func ExampleLifecycle_Stop_short() {
--- a/internal/takeover/manager.go
+++ b/internal/takeover/manager.go
@@ -118,6 +118,7 @@
 	m.address = address
 	if address.Predecessor != nil {
 		m.startLink(address.Predecessor.Link, rolePredecessor)
+		m.service.PredecessorChanged(true)
 	}
 	if !address.Shared {
 		m.startAccepting()
@@ -217,6 +218,7 @@
 	if p.role == rolePredecessor {
 		m.log.Info("predecessor exited")
 		m.startAccepting() // even if not ready: no other process serves the connections in the accept queue
+		m.service.PredecessorChanged(false)
 		return
 	}
 	m.log.Info("successor exited")
--- a/internal/takeover/migration_test.go
+++ b/internal/takeover/migration_test.go
@@ -51,6 +51,7 @@
 func (f *fakeService) EndpointsKnown()             {}
 func (f *fakeService) SuccessorServing()           {}
 func (f *fakeService) SuccessorExited()            {}
+func (f *fakeService) PredecessorChanged(bool)     {}
 func (f *fakeService) ShouldMigrate() bool         { return false }
 func (f *fakeService) SetQuotas(int, int)          {}
 
--- a/internal/takeover/service.go
+++ b/internal/takeover/service.go
@@ -62,6 +62,9 @@
 	// SuccessorExited records that the successor has exited or was given up, whether or not it had
 	// reported that it is ready.
 	SuccessorExited()
+	// PredecessorChanged records that the predecessor is running (present), or has exited or can't be
+	// reached any more.
+	PredecessorChanged(present bool)
 	// ShouldMigrate reports whether connections are to migrate to the successor now.
 	ShouldMigrate() bool
 	// SetQuotas sets the number of descriptors and the MiB of memory that this process may use.
