An attempt without any dial takes the descriptor of another attempt's redundant dial

Cause: callers were throttled on a busy machine (known red TestTakeoverWithManyInFlight, 19 and 43 of 600 "no descriptor"). dial starts up to two more dials while a connection comes up late and leaves just 8 descriptors free, so that where all come up late the redundant dials of early attempts held every descriptor that first dials of later attempts needed.

Change: startExchange and redialAfterBackoff share dialOrWait, which without a free descriptor ends the latest redundant dial of an attempt and tries again every 20 ms until the deadline for dials. Nothing changes while descriptors are free.

--- a/internal/workers/dial.go
+++ b/internal/workers/dial.go
@@ -22,7 +22,7 @@
 	// exchanges without any dial in progress.
 	redialReserveDescriptors = 8
 	// localErrorBackoff is the wait before the next dial after one that failed on the local
-	// machine.
+	// machine, or for which no descriptor was free.
 	localErrorBackoff = 20 * time.Millisecond
 )
 
@@ -64,20 +64,47 @@
 	return false
 }
 
-// redialAfterBackoff schedules one more dial, as a local failure may be over after the backoff. It
-// returns false if the deadline for dials would have passed by then.
+// dialOrWait dials a connection for an exchange that has none. If no descriptor is free, it ends the
+// redundant dial of another exchange and waits until the descriptor of that is released. It returns
+// false if no descriptor can be had until the deadline for dials.
+func (t *Transport) dialOrWait(w *worker, x *exchange) bool {
+	if t.quota.EnsureFree(0) {
+		t.dial(w, x)
+		return true
+	}
+	x.awaitsDescriptor = t.endRedundantDial() || x.awaitsDescriptor
+	return x.awaitsDescriptor && t.redialAfterBackoff(w, x)
+}
+
+// endRedundantDial ends the latest dial of an attempt that has several, and reports whether there is
+// such an attempt.
+func (t *Transport) endRedundantDial() bool {
+	for _, a := range t.attempts {
+		if a.exchange == nil || len(a.exchange.dials) < 2 {
+			continue
+		}
+		last := len(a.exchange.dials) - 1
+		redundant := a.exchange.dials[last]
+		a.exchange.dials = a.exchange.dials[:last]
+		redundant.exchange = nil
+		redundant.socket.Close()
+		return true
+	}
+	return false
+}
+
+// redialAfterBackoff schedules one more dial, as a local failure or the lack of descriptors may be
+// over after the backoff. It returns false if the deadline for dials would have passed by then.
 func (t *Transport) redialAfterBackoff(w *worker, x *exchange) bool {
 	if t.loop.Now()+localErrorBackoff >= x.dialDeadline {
 		return false
 	}
 	x.nextDial.Stop()
 	x.nextDial = t.loop.After(localErrorBackoff, func() {
-		if t.quota.EnsureFree(0) {
-			t.dial(w, x)
-			return
+		if !t.dialOrWait(w, x) {
+			x.timeout.Stop()
+			x.onDone(nil, conn.NoDescriptor)
 		}
-		x.timeout.Stop()
-		x.onDone(nil, conn.NoDescriptor)
 	})
 	return true
 }
--- a/internal/workers/dial_test.go
+++ b/internal/workers/dial_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +17,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"stoatweir/dispatch"
 	"stoatweir/internal/conn"
 )
 
@@ -221,6 +223,59 @@
 	// 0 charged to the worker; sockets: 1
 }
 
+// Guards against attempts that fail because the second and third dials of other attempts hold all
+// descriptors: many attempts start while no connection is established for a while. An attempt
+// without any dial ends a redundant one and takes its descriptor.
+func TestRedundantDialsYieldDescriptors(t *testing.T) {
+	const count = 30 // of a quota of 36, with up to three dials each
+	f := newFixture(slices.Repeat([]string{acceptedResponse}, count)...)
+	real := f.loop.DialContext
+	var dials atomic.Int64
+	open := make(chan struct{})
+	f.loop.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dials.Add(1)
+		select {
+		case <-open:
+			return real(ctx, network, addr)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	var ends []dispatch.Outcome
+	accepted := 0
+	f.OnEvent = func(e dispatch.Event) {
+		switch e := e.(type) {
+		case dispatch.Outcome:
+			ends = append(ends, e)
+		case dispatch.AttemptProgress:
+			accepted++
+		}
+	}
+	const half = count / 2
+	for n := range half {
+		f.Forward(f.newInvocation(dispatch.InvocationID(n+1)), 0, f.id)
+	}
+	f.runUntilTrue("redundant dials", func() bool { return dials.Load() > half })
+	f.runUntilTrue("no descriptors for further ones", func() bool { return f.quota.Available() <= redialReserveDescriptors })
+	for n := range half {
+		f.Forward(f.newInvocation(dispatch.InvocationID(half+n+1)), 0, f.id)
+	}
+	f.runUntilTrue("a dial for each attempt", func() bool {
+		undialled := 0
+		for _, a := range f.attempts {
+			if a.exchange != nil && len(a.exchange.dials) == 0 {
+				undialled++
+			}
+		}
+		return undialled == 0
+	})
+	close(open)
+	f.runUntilTrue("all responses", func() bool { return accepted+len(ends) == count })
+	if len(ends) > 0 {
+		t.Errorf("%d of %d attempts ended without being sent: %v", len(ends), count, f.Counts.AttemptsByReason)
+	}
+}
+
 // The descriptor that a failed dial has released is in use again by the time of the next dial. The
 // attempt has not run, and no descriptor beyond the quota is used.
 func Example_noDescriptorForRedial() {
--- a/internal/workers/exchange.go
+++ b/internal/workers/exchange.go
@@ -26,6 +26,9 @@
 	dials        []*connection // being dialled for the exchange
 	nextDial     *conn.Timer   // starts another dial
 	dialDeadline time.Duration // when all dials time out, by the loop's clock
+	// awaitsDescriptor is set once a redundant dial was ended for the exchange, whose descriptor is
+	// released a moment later.
+	awaitsDescriptor bool
 }
 
 // notifyWritten calls onWritten once, although several events may show that the last byte has been
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -32,12 +32,11 @@
 		c.attach(x)
 		return c.sendRequest()
 	}
-	if !t.quota.EnsureFree(0) {
+	x.dialDeadline = t.loop.Now() + t.deployment.ConnectTimeout
+	if !t.dialOrWait(w, x) {
 		x.onDone(nil, conn.NoDescriptor)
 		return false
 	}
-	x.dialDeadline = t.loop.Now() + t.deployment.ConnectTimeout
-	t.dial(w, x)
 	return true
 }
 
