Attempts of idempotent work too keep off connections on which a stray response may come

Change: takeIdle skips, for every attempt, connections that have carried a request within 0.1 s; one that has carried nothing is used at once, which it was not for other work before. The fixture of the workers' tests ages idle connections before an attempt, in place of single lines in the tests. Example_strayResponse now holds all three effect classes. In Example_staleConnection no attempt can find a connection closed after less than 0.1 s of rest any more: it now holds the exact timeout that follows, 50 ms, in place of "below the minimum".

Measured: Example_strayResponse fails for idempotent work with the condition before.

--- a/internal/workers/attempt.go
+++ b/internal/workers/attempt.go
@@ -109,6 +109,7 @@
 // the dispatcher decided it.
 func (t *Transport) newAttemptExchange(a *attempt, check invariant.Attempt) *exchange {
 	return &exchange{
+		isAttempt:        true,
 		needsProofNotRun: a.invocation.needsProofNotRun(),
 		buildRequest:     func() conn.Outgoing { return t.buildAttempt(a, check) },
 		onFirstByte: func() {
--- a/internal/workers/callback_test.go
+++ b/internal/workers/callback_test.go
@@ -137,7 +137,6 @@
 		for number := range 2 {
 			f.Forward(inv, number, f.id)
 			f.runUntil(1, 1)
-			f.worker().idle[0].idleSince -= strayResponseWindow
 			f.reportState("id1", "returned")
 			f.runUntil(1, 0)
 		}
--- a/internal/workers/connection.go
+++ b/internal/workers/connection.go
@@ -24,6 +24,7 @@
 	earlyResponse *http1.Message // arrived before the whole request had been written
 	timer         *conn.Timer    // closes an idle connection, or ends the wait for the request to be written
 	reused        bool           // has been in the pool
+	hasCarried    bool           // has carried a request, to which a second response may arrive
 	idleSince     time.Duration  // when it was last put into the pool, by the loop's clock
 }
 
@@ -61,6 +62,7 @@
 		c.putIdle()
 		return false
 	}
+	c.hasCarried = true
 	if x.onFirstByte != nil {
 		x.onFirstByte()
 	}
--- a/internal/workers/exchange.go
+++ b/internal/workers/exchange.go
@@ -17,8 +17,10 @@
 	// onDone is called once, with the response or the reason why there is none. It is not called
 	// after abort.
 	onDone func(response *http1.Message, reason conn.CloseReason)
-	// needsProofNotRun is set if the response to another request must not be taken for the response
-	// to this one.
+	// isAttempt is set for attempts: the response to another request must not be taken for the
+	// response to one.
+	isAttempt bool
+	// needsProofNotRun is set if a retry of the attempt requires proof that it did not run.
 	needsProofNotRun bool
 	timeout          *conn.Timer
 
--- a/internal/workers/fixture_test.go
+++ b/internal/workers/fixture_test.go
@@ -144,11 +144,20 @@
 	f.lines = append(f.lines, fmt.Sprintf(format, args...))
 }
 
-// Forward starts an attempt that only the client timeout bounds.
+// Forward starts an attempt that only the client timeout bounds. All idle connections have been idle
+// for long enough to carry it.
 func (f *fixture) Forward(inv *Invocation, number int, to dispatch.WorkerID) {
+	f.ageIdle()
 	f.Transport.Forward(inv, number, to, 0)
 }
 
+// ageIdle makes the idle connections idle for long enough that no stray response may arrive on them.
+func (f *fixture) ageIdle() {
+	for _, c := range f.worker().idle {
+		c.idleSince = min(c.idleSince, f.loop.Now()-strayResponseWindow)
+	}
+}
+
 // writeFromWorker makes the worker write text over its nth connection.
 func (f *fixture) writeFromWorker(n int, text string) {
 	f.mu.Lock()
--- a/internal/workers/migration_test.go
+++ b/internal/workers/migration_test.go
@@ -22,7 +22,6 @@
 			for number := range 2 {
 				f.Forward(inv, number, f.id)
 				f.runUntil(1, 1)
-				f.worker().idle[0].idleSince -= strayResponseWindow
 				if number == 0 {
 					f.reportState(inv.ID, "returned")
 					f.runUntil(1, 0)
--- a/internal/workers/pool.go
+++ b/internal/workers/pool.go
@@ -28,7 +28,7 @@
 // startExchange sends a request over an idle connection, or dials a new one. It returns false if
 // the exchange has failed immediately; onDone has then been called.
 func (t *Transport) startExchange(w *worker, x *exchange) bool {
-	if c := t.takeIdle(w, x.needsProofNotRun); c != nil {
+	if c := t.takeIdle(w, x.isAttempt); c != nil {
 		c.attach(x)
 		return c.sendRequest()
 	}
@@ -47,7 +47,7 @@
 	for i := len(w.idle) - 1; i >= 0; i-- {
 		c := w.idle[i]
 		idleFor := t.loop.Now() - c.idleSince
-		if skipRecent && idleFor < strayResponseWindow {
+		if skipRecent && c.hasCarried && idleFor < strayResponseWindow {
 			continue
 		}
 		w.idle = slices.Delete(w.idle, i, i+1)
--- a/internal/workers/pool_test.go
+++ b/internal/workers/pool_test.go
@@ -19,7 +19,7 @@
 		f.Forward(f.newInvocation(n), 0, f.id)
 		f.runUntil(1, 1)
 	}
-	fmt.Println("below the minimum:", f.idleTimeout() < minIdleTimeout)
+	fmt.Println("half of the time after which it was found closed:", f.idleTimeout().Round(5*time.Millisecond))
 	f.idleLimitSetAt -= time.Minute
 	fmt.Println(f.idleTimeout())
 	// Output:
@@ -29,22 +29,22 @@
 	// inv 2 attempt 0 ends: 9 closed=false load=false
 	// connection 2: POST /render/7f HTTP/1.1 id3 body
 	// inv 3 attempt 0 ends: 8 closed=false load=false
-	// below the minimum: true
+	// half of the time after which it was found closed: 50ms
 	// 3s
 }
 
 // A second response to one request arrives some milliseconds late and must not be taken for the
-// response to the next request. Where it would wrongly permit a retry, or a retry outside the
-// deduplication group and window of the first attempt, a request is sent only over a connection
-// that has been idle for longer, or over a new one.
+// response to the next attempt, whatever its effect class: a rejection would permit another attempt
+// beside an open one. An attempt is sent only over a connection that has been idle for longer, or
+// over a new one.
 func Example_strayResponse() {
-	for _, effect := range []dispatch.Effect{dispatch.Deduplicated, dispatch.NonIdempotent} {
+	for _, effect := range []dispatch.Effect{dispatch.Idempotent, dispatch.Deduplicated, dispatch.NonIdempotent} {
 		f := newFixture(acceptedResponse, "", acceptedResponse)
 		f.Forward(f.newInvocation(1), 0, f.id)
 		f.runUntil(1, 1)
 		inv := f.newInvocation(2)
 		inv.Effect = effect
-		f.Forward(inv, 0, f.id)
+		f.Transport.Forward(inv, 0, f.id, 0)
 		f.runUntil(0, 1)
 		f.writeFromWorker(1, rejectedResponse)
 		f.runUntilTrue("the close of the connection with the stray response", func() bool { return len(f.worker().idle) == 0 })
@@ -52,7 +52,6 @@
 		f.writeFromWorker(2, acceptedResponse)
 		f.runUntil(1, 0)
 		// A connection that has been idle for long enough is used again.
-		f.worker().idle[0].idleSince -= strayResponseWindow
 		inv = f.newInvocation(3)
 		inv.Effect = effect
 		f.Forward(inv, 0, f.id)
@@ -73,6 +72,13 @@
 	// inv 2 attempt 0: accepted=true started=false done=0
 	// connection 2: POST /render/7f HTTP/1.1 id3 body
 	// inv 3 attempt 0: accepted=true started=false done=0
+	// connection 1: POST /render/7f HTTP/1.1 id1 body
+	// inv 1 attempt 0: accepted=true started=false done=0
+	// connection 2: POST /render/7f HTTP/1.1 id2 body
+	// connection 1 ends
+	// inv 2 attempt 0: accepted=true started=false done=0
+	// connection 2: POST /render/7f HTTP/1.1 id3 body
+	// inv 3 attempt 0: accepted=true started=false done=0
 }
 
 // An idle connection that its worker has closed, or that has received half a line, is not used,
--- a/internal/workers/sendcheck_test.go
+++ b/internal/workers/sendcheck_test.go
@@ -69,6 +69,7 @@
 				inv := f.newInvocation(2)
 				until := b.setBound(f, inv)
 				time.Sleep(pauseDuration)
+				f.ageIdle()
 				f.Transport.Forward(inv, 1, f.id, until)
 			}))
 			f.runUntilTrue("the end of the attempt", func() bool { return len(outcomes) > 0 })
