The soak loses responses to callbacks, moves discovery to a slow address and stops both processes

"responses lost": workers return many requests and repeat callbacks whose response was lost. "stop both": SIGTERM to both processes of a replacement in progress; a successor that exits before its predecessor is a violation (F2 order).

--- a/internal/lab/soak/fault_schedule.go
+++ b/internal/lab/soak/fault_schedule.go
@@ -29,7 +29,7 @@
 	// With pushed updates, another rule says when a change counts as notified after the list has
 	// changed its address. The soak doesn't check that rule.
 	if h.endpointsPushed() {
-		kinds = slices.DeleteFunc(kinds, func(k faultKind) bool { return k.name == faultMove })
+		kinds = slices.DeleteFunc(kinds, func(k faultKind) bool { return k.name == faultMove || k.name == faultSlowMove })
 	}
 	if len(h.Only) > 0 {
 		kinds = slices.DeleteFunc(kinds, func(k faultKind) bool { return !slices.Contains(h.Only, k.name) })
--- a/internal/lab/soak/list_server.go
+++ b/internal/lab/soak/list_server.go
@@ -20,8 +20,9 @@
 	listener  net.Listener
 	proxy     *proxy
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	mu          sync.Mutex
+	conns       map[net.Conn]struct{}
+	answerDelay time.Duration // before each answer, besides that of the list
 }
 
 func newListServer(l *endpointList, scheduler int) (*listServer, error) {
@@ -72,6 +73,12 @@
 	}
 }
 
+func (s *listServer) setAnswerDelay(delay time.Duration) {
+	s.mu.Lock()
+	s.answerDelay = delay
+	s.mu.Unlock()
+}
+
 func (s *listServer) serve(c net.Conn) {
 	request, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
@@ -85,6 +92,9 @@
 	delay := s.list.delay
 	down := s.list.down
 	s.list.mu.Unlock()
+	s.mu.Lock()
+	delay += s.answerDelay
+	s.mu.Unlock()
 	time.Sleep(delay)
 	if down {
 		fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -48,12 +48,48 @@
 	default:
 	}
 	s.requestStop(p)
+	s.stopRouting(p)
+	s.awaitExit(h, p)
+}
+
+// stopRouting has clients open no new connections a moment later, unless a further process has been
+// started by then.
+func (s *scheduler) stopRouting(p *process) {
 	time.AfterFunc(routingDelay, func() {
 		if s.current() == p {
 			s.routed.Store(false)
 		}
 	})
-	s.awaitExit(h, p)
+}
+
+// stopBoth shuts two processes down that replace each other. Whoever started them takes the exit of the
+// successor for the exit of the scheduler, so the predecessor must have exited by then.
+func (s *scheduler) stopBoth(h *harness, predecessor, successor *process) {
+	s.requestStop(predecessor)
+	s.requestStop(successor)
+	s.stopRouting(successor)
+	s.awaitExit(h, successor)
+	select {
+	case <-predecessor.exited:
+	case <-time.After(observationSlack):
+		h.observed.addViolation("F2 order", s.name(), "the successor exited before its predecessor")
+		s.awaitExit(h, predecessor)
+	}
+}
+
+// awaitLog waits until the log of the process contains a text, or the process is late or has exited.
+func (p *process) awaitLog(text string) {
+	for deadline := time.Now().Add(readyWithin); time.Now().Before(deadline); time.Sleep(readyPollInterval) {
+		written, _ := os.ReadFile(p.log)
+		if strings.Contains(string(written), text) {
+			return
+		}
+		select {
+		case <-p.exited:
+			return
+		default:
+		}
+	}
 }
 
 // awaitExit waits for the exit of a process that was asked to stop. If the process is late, it
--- a/internal/lab/soak/worker.go
+++ b/internal/lab/soak/worker.go
@@ -46,6 +46,8 @@
 	hangs       bool            // reads requests and answers none
 	bootMS      int64           // start time in Unix milliseconds, by the wall clock at that time; 0: started long ago
 	unusualRate float64         // fraction of the requests that it answers in an unusual way
+	returnsOnly bool            // an unusual answer always returns the request unstarted
+	lossRate    float64         // fraction of the responses to its callbacks that are lost on their way
 }
 
 func newWorker(h *harness, n int) (*worker, error) {
@@ -146,6 +148,13 @@
 	return w.rng.Float64() < w.unusualRate
 }
 
+// drawLostResponse decides at random whether the response to a callback is lost.
+func (w *worker) drawLostResponse() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lossRate > 0 && w.rng.Float64() < w.lossRate
+}
+
 // capacityAt returns the fraction of its capacity that a worker of a given age has.
 func capacityAt(age time.Duration) float64 {
 	return min(1, slowStartInitialCapacity+(1-slowStartInitialCapacity)*age.Seconds()/slowStartDuration.Seconds())
--- a/internal/lab/soak/worker_execution.go
+++ b/internal/lab/soak/worker_execution.go
@@ -10,6 +10,7 @@
 const (
 	maxCallbackAttempts = 10                     // attempts to deliver one callback
 	callbackRetryDelay  = 100 * time.Millisecond // pause between two attempts
+	lostResponseWait    = 150 * time.Millisecond // time after which a callback whose response was lost is repeated
 )
 
 // callbackState is the state of an attempt in a worker's callback to the scheduler.
@@ -112,8 +113,8 @@
 	}
 }
 
-// notify sends a callback to the attempt's scheduler until it is accepted, at most maxCallbackAttempts
-// times.
+// notify sends a callback to the attempt's scheduler until it receives the response that accepts it,
+// at most maxCallbackAttempts times.
 func (w *worker) notify(a *attempt, state callbackState) {
 	callback := workerCallback{ID: a.request.id, From: w.uid, State: state}
 	if state == stateDone {
@@ -124,11 +125,15 @@
 		return
 	}
 	for range maxCallbackAttempts {
+		wait := callbackRetryDelay
 		if w.postCallback(a.request.scheduler, text) {
-			return
+			if !w.drawLostResponse() {
+				return
+			}
+			wait = lostResponseWait
 		}
 		select {
-		case <-time.After(callbackRetryDelay):
+		case <-time.After(wait):
 		case <-w.harness.ctx.Done():
 			return
 		}
--- a/internal/lab/soak/worker_faults.go
+++ b/internal/lab/soak/worker_faults.go
@@ -21,6 +21,7 @@
 	workerFault("refuse", 0.3, refuseConnections),
 	workerFault("late", 0.5, delayConnections),
 	workerFault("odd", 0.6, raiseUnusualRate),
+	workerFault("responses lost", 0.6, loseCallbackResponses),
 }
 
 // drainAndRestart takes a worker through draining and removal from the list to its next incarnation.
@@ -75,3 +76,21 @@
 	time.Sleep(time.Second)
 	w.update(func() { w.unusualRate = defaultUnusualRate })
 }
+
+// loseCallbackResponses has workers return many requests, and lose many responses to their callbacks,
+// for a while.
+func loseCallbackResponses(w *worker, rng *rand.Rand) {
+	const highReturnRate = 0.4
+	const highLossRate = 0.5
+	w.update(func() {
+		w.returnsOnly = true
+		w.unusualRate = highReturnRate
+		w.lossRate = highLossRate
+	})
+	time.Sleep(time.Second + millisUpTo(rng, 1000))
+	w.update(func() {
+		w.returnsOnly = false
+		w.unusualRate = defaultUnusualRate
+		w.lossRate = 0
+	})
+}
--- a/internal/lab/soak/worker_server.go
+++ b/internal/lab/soak/worker_server.go
@@ -134,6 +134,9 @@
 func (w *worker) respondUnusually(c net.Conn, a *attempt) bool {
 	w.mu.Lock()
 	response := unusualResponse(w.rng.Intn(int(unusualResponseCount)))
+	if w.returnsOnly {
+		response = unusualReturned
+	}
 	incarnation := w.incarnation
 	w.mu.Unlock()
 	switch response {
