The peer of TestAllFlushedAwaitsPeerClose stays open until the test has ended

The peer's function returns with the connection open and nothing refers to it any more, so the garbage collector may close it at any time. The product is not concerned.

Change: the test keeps a reference and closes the connection when it has ended. What it checks is unchanged.

--- a/internal/conn/close_test.go
+++ b/internal/conn/close_test.go
@@ -87,6 +87,7 @@
 			q := l.NewQuota(10)
 			release := make(chan bool)
 			addr, stop := listenPeer(func(c net.Conn) {
+				t.Cleanup(func() { c.Close() }) // a connection that is not referenced is closed by the garbage collector
 				io.ReadAll(c)
 				<-release
 				if peerCloses {
