--- a/review/rig/discovery.go
+++ b/review/rig/discovery.go
@@ -30,6 +30,8 @@
 type Discovery struct {
 	Addr string
 
+	server *http.Server
+
 	mu      sync.Mutex
 	list    List
 	changes []List // changes[n] leads from revision n+1 to n+2
@@ -44,12 +46,34 @@
 		list:    List{Rev: 1, All: true, Targets: targets},
 		changed: make(chan struct{}),
 	}
-	server := &http.Server{Handler: d}
-	r.Defer(func() { server.Close() })
-	go server.Serve(l)
+	d.server = &http.Server{Handler: d}
+	r.Defer(d.Stop)
+	go d.server.Serve(l)
 	return d
 }
 
+// Stop ends discovery: watches end, and new calls are refused.
+func (d *Discovery) Stop() { d.server.Close() }
+
+// Drain tells that a worker drains.
+func (d *Discovery) Drain(uid string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change := List{Rev: d.list.Rev + 1}
+	next := List{Rev: change.Rev, All: true}
+	for _, target := range d.list.Targets {
+		if target.UID == uid {
+			target.State = "Terminating"
+			change.Targets = append(change.Targets, target)
+		}
+		next.Targets = append(next.Targets, target)
+	}
+	d.list = next
+	d.changes = append(d.changes, change)
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
 // Replace takes workers out of the list and puts others in.
 func (d *Discovery) Replace(gone, added []Target) {
 	d.mu.Lock()
