--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -16,6 +16,9 @@
 // longestPlay is the time after which a play is given up and all that it started is ended.
 const longestPlay = 115 * time.Second
 
+// longestFolder is the longest path of the folder of a play, in bytes.
+const longestFolder = 60
+
 // Run is one play of a case: its temporary folder, its record and the processes that it started.
 type Run struct {
 	Dir     string // temporary folder of the play
@@ -41,6 +44,10 @@
 	if err != nil {
 		CannotRun(err)
 	}
+	if len(dir) > longestFolder {
+		os.RemoveAll(dir)
+		CannotRun("the path of the temporary folder is too long for the Unix socket that two processes meet at")
+	}
 	record, err := os.Create(filepath.Join(caseDir, "record.txt"))
 	if err != nil {
 		CannotRun(err)
